--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,908 @@
+// Package rules decides for one edge node. A host makes a Node with New, sets the time with Clock,
+// reports what came in (Roster, Take, Ended, Started, Lapsed, Probed, Heard, Elapsed), which only
+// updates what is known, and then calls Next again and again until it says that there is no more.
+// The interface and the state types stand in types.go; every decision and tuned value stands here.
+//
+// The design: each second a limit λ = a/T, a from a two-layer map of in-flight, latency and their
+// averages (limit, policy); then the customer's bucket, its quota times this node's part of its
+// demand (part, inQuota). Past either a ticket is bounced at once. Beside the design stand six:
+//  1. weighted rotation with warm-up (pick, weigh)
+//  2. the cold budget (coldRoom)
+//  3. suspicion of failing or silent servers (judge, silent)
+//  4. budgeted further executions and time-outs (further, decide)
+//  5. caps and ceilings (caps in pick, ceilingRoom)
+//  6. one spare for a late execution (beat)
+package rules
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Tuned values, as ratios to settings or to what was seen.
+const (
+	interval   = Second // of the limit, as the design says
+	fresh      = 3.0    // executions a ready server, for a fresh node
+	quietUnder = 0.2    // normalised latency under which the back end is quiet
+	leastA     = 0.3    // least a, as a share of the best recent
+	fade       = 0.3    // of the features' moving averages, an interval
+	recent     = 30     // intervals that T looks back on
+	bestOver   = 8      // intervals that the best completed rate looks back on
+	burstOf    = 0.4    // share of an interval's λ that may be used at once
+
+	demandFade = 2 * interval  // memory of a customer's demand
+	tellEvery  = interval / 3  // between messages to peers
+	silence    = 4 * interval  // without word of peers or meter
+	leastPart  = 0.2           // of the even slice
+	idleAfter  = 60 * interval // a customer ages out, if its bucket is full by then
+	maxTell    = 256           // bytes a message holds
+
+	paceFade   = 5 * interval // memory of a server's pace
+	pacePrior  = 6.0          // answers' worth of belief that a server is like the others
+	paceCap    = 2.0          // open executions over the fair share
+	missesMost = 2            // errors or time-outs in a row before suspicion
+	shutMost   = 8            // longest suspicion, in contract times
+	silentOver = 0.33         // of the contract time without any answer
+	coldMargin = 0.5          // of the cold budget that is used
+
+	extraEach = 0.2  // further executions earned by a first one
+	spareAt   = 0.33 // of the contract time, when a spare is due
+	spareOver = 2.5  // and times the usual latency
+	beats     = 30   // looks at open executions in a contract time
+)
+
+// policy is the two-layer map: hidden units over {in-flight, its average, latency, its average}, bias
+// last, then one output. In-flight is over the last a, latency runs from 0 (as low as seen lately) to
+// 1 (the contract time). Hand-set until fitted: flat while quiet, falling as either rises.
+var policy = struct {
+	hidden [4][5]float64
+	out    [5]float64
+}{
+	hidden: [4][5]float64{
+		{0, 0, 1, 0, -quietUnder},
+		{0, 0, 0, 1, -quietUnder},
+		{1, 0, 0, 0, -4},
+		{0, 1, 0, 0, -4},
+	},
+	out: [5]float64{-0.6, -0.6, -0.02, -0.02, 1.3},
+}
+
+// New makes a node that knows its settings only.
+func New(seed uint64, set Settings, now Time) *Node {
+	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
+		beatAt: now, tokensAt: now, quiet: true, heardAt: now - silence, meterAt: now - silence,
+		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
+	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
+	n.tick = set.Span("tick")
+	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
+	for i := range int(set.Num("band.count")) {
+		b := band{contract: set.Span(set.At("band", i, "contract")), window: set.Span(set.At("band", i, "window")),
+			group: set[set.At("band", i, "group")]}
+		switch set[set.At("band", i, "repeats")] {
+		case "referenced":
+			b.repeats = referenced
+		case "replayable":
+			b.repeats = replayable
+		default:
+			b.repeats = singleUse
+		}
+		if i == 0 || b.contract < n.contract {
+			n.contract = b.contract
+		}
+		n.bands = append(n.bands, b)
+	}
+	for i := range int(set.Num("plan.count")) {
+		f := func(name string) float64 { return set.Num(set.At("plan", i, name)) }
+		n.plans = append(n.plans, plan{rate: f("rate"), depth: f("depth"), open: int(f("open")),
+			ceilingRate: f("ceiling.rate"), ceilingDepth: f("ceiling.depth")})
+	}
+	if n.contract <= 0 {
+		n.contract = Second
+	}
+	if set["roster"] == "ask" {
+		n.watchAt = now
+	}
+	return n
+}
+
+// ---- Bookkeeping: what is known.
+
+// Clock sets the time.
+func (n *Node) Clock(now Time) { n.now = now }
+
+// Roster takes in a message of the server roster.
+func (n *Node) Roster(kind RosterKind, list []Listing) {
+	if kind == Missed {
+		n.watches, n.watchAt = false, n.now+interval
+		return
+	}
+	if kind != Change {
+		for i := range n.servers {
+			n.servers[i].known = false
+		}
+	}
+	for _, l := range list {
+		i := n.serverOf.find(l.Server)
+		if i < 0 {
+			i = n.serverOf.add(l.Server)
+			n.servers = append(n.servers, appServer{Listing: l})
+		}
+		s := &n.servers[i]
+		if s.Started != l.Started { // a new process: what the old one did says nothing
+			s.pace, s.misses, s.until, s.shut, s.trying, s.sentNow = faded{}, 0, 0, 0, false, 0
+		}
+		s.Listing, s.known = l, l.State != Gone
+	}
+	n.ready = 0
+	for i := range n.servers {
+		if n.servers[i].usable() {
+			n.ready++
+		}
+	}
+}
+
+func (s *appServer) usable() bool { return s.known && s.State == Ready }
+
+// Take notes a ticket that came in.
+func (n *Node) Take(a Arrival) {
+	i := n.ticketOf.add(a.ID)
+	if int(i) == len(n.tickets) {
+		n.tickets = append(n.tickets, ticket{})
+	}
+	t := &n.tickets[i]
+	*t = ticket{id: a.ID, live: true, band: min(a.Band, len(n.bands)-1), plan: min(a.Plan, len(n.plans)-1),
+		came: n.now, until: n.now + a.Left, guess: a.Units, share: 1, runs: t.runs[:0]}
+	t.customer = n.customer.find(a.Customer)
+	if t.customer < 0 {
+		t.customer = n.customer.add(a.Customer)
+		if int(t.customer) == len(n.customers) {
+			n.customers = append(n.customers, customer{})
+		}
+		n.customers[t.customer] = customer{key: a.Customer, live: true, plan: t.plan, seen: n.now, filled: n.now,
+			ceilingAt: n.now, level: n.plans[t.plan].depth, peers: make([]heardRate, n.nodes)}
+	}
+	c := &n.customers[t.customer]
+	c.spread, c.first, c.last, c.newUse = min(max(a.Spread, 1), n.nodes), a.First, n.now, true
+	c.asked.add(a.Units, n.now, demandFade)
+	n.push(i)
+}
+
+// Started notes that an answer has begun: the client owns the execution now.
+func (n *Node) Started(id uint32) {
+	if i := n.ticketOf.find(id); i >= 0 {
+		n.tickets[i].bound = true
+	}
+}
+
+// Lapsed notes that the client has gone.
+func (n *Node) Lapsed(id uint32) {
+	if i := n.ticketOf.find(id); i >= 0 {
+		n.shut(i)
+	}
+}
+
+// Ended notes how an execution ended.
+func (n *Node) Ended(r Result) {
+	i := n.ticketOf.find(r.Ticket)
+	if i < 0 || r.Nth >= len(n.tickets[i].runs) || !n.tickets[i].runs[r.Nth].out {
+		return
+	}
+	t := &n.tickets[i]
+	x, b, c := &t.runs[r.Nth], &n.bands[t.band], &n.customers[t.customer]
+	x.out = false
+	x.mayRun = r.Outcome != Full && r.Outcome != Unreached && r.Outcome != Moot
+	t.out--
+	c.out--
+	if t.out == 0 {
+		n.inWork--
+	}
+	n.judge(&n.servers[x.server], b, r.Outcome, r.Took)
+	if r.Outcome != Moot && r.Outcome != Withdrawn {
+		part := float64(r.Took) / float64(b.contract)
+		if r.Outcome != OK {
+			part = max(part, 1) // work that brought no answer tells of pressure whatever its time
+		}
+		n.ended++
+		n.latency += part
+		n.tails = append(n.tails, part)
+	}
+	if r.Outcome == OK {
+		n.completed++
+		n.took += float64(r.Took)
+		b.took.add(float64(r.Took), n.now, paceFade)
+		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
+			c.level -= (r.Units - t.guess) / t.share
+		}
+	}
+	if p := n.plans[c.plan]; r.Use > 0 {
+		n.meterAt, c.meterAt = n.now, n.now
+		c.metered = float64(r.Use-1) / 100 * n.quotaRate(p)
+	}
+	if r.Settled {
+		n.shut(i)
+	}
+	switch {
+	case !t.closed:
+		n.push(i)
+	case t.out == 0:
+		n.free(i)
+	}
+}
+
+// judge learns of a server from one end. It guards against servers that fail, cut links and processes
+// that hang; it covers a lost zone too. It could harm where errors come from the tickets themselves:
+// then servers rest for a contract time by turns, and pick falls back on all when none is left.
+func (n *Node) judge(s *appServer, b *band, o Outcome, took Time) {
+	s.open--
+	trial := s.trying
+	s.trying = false
+	switch o {
+	case OK:
+		s.misses, s.shut, s.until, s.heard = 0, 0, 0, n.now
+		s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
+	case Full: // it answers, but has no room: leave it for about one execution
+		s.heard = n.now
+		s.until = n.now + Time(n.usualOf(b))
+	case Failed, TimedOut, Unreached, Reset:
+		if o == Failed {
+			s.heard = n.now
+		}
+		if s.misses++; o == Unreached || o == Reset || trial || s.misses >= missesMost {
+			s.shut = min(max(2*s.shut, n.contract), shutMost*n.contract)
+			s.until = n.now + s.shut
+		}
+		if o != Failed {
+			s.pace.add(max(1, float64(took)/n.usualOf(b)), n.now, paceFade)
+		}
+	case Withdrawn: // at least that slow
+		if float64(took) > n.usualOf(b) {
+			s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
+		}
+	}
+}
+
+// Probed notes the answer of a probe.
+func (n *Node) Probed(id uint32, o Outcome, load []float64) {
+	if i := n.serverOf.find(id); i >= 0 && o == OK {
+		n.servers[i].heard = n.now
+	}
+}
+
+// Elapsed notes that a wake came; the time is all it tells.
+func (n *Node) Elapsed() {}
+
+// Heard takes in a peer's message: a mark, then customers with their rate there in hundredths of a
+// unit a second. One that is malformed in any place is passed over whole.
+func (n *Node) Heard(from int, b []byte) {
+	if from < 0 || from >= n.nodes || from == n.me || len(b) < 1 || b[0] != tellMark {
+		return
+	}
+	for pass := range 2 {
+		for p := b[1:]; len(p) > 0; {
+			key, k := binary.Uvarint(p)
+			if k <= 0 {
+				return
+			}
+			rate, m := binary.Uvarint(p[k:])
+			if m <= 0 || rate > math.MaxUint32 {
+				return
+			}
+			p = p[k+m:]
+			if i := n.customer.find(key); pass == 1 && i >= 0 {
+				n.customers[i].peers[from] = heardRate{float64(rate) / 100, n.now}
+			}
+		}
+	}
+	n.heardAt = n.now
+}
+
+const tellMark = 0xC7
+
+func (n *Node) push(i int32) {
+	if t := &n.tickets[i]; !t.queued {
+		t.queued = true
+		n.todo = append(n.todo, i)
+	}
+}
+
+// shut closes a ticket and calls back what is still out for it.
+func (n *Node) shut(i int32) {
+	t := &n.tickets[i]
+	if t.closed {
+		return
+	}
+	t.closed = true
+	for k := range t.runs {
+		n.recall(t, k)
+	}
+	if t.out == 0 {
+		n.free(i)
+	}
+}
+
+func (n *Node) recall(t *ticket, k int) {
+	if x := &t.runs[k]; x.out && !x.called && !t.bound && n.set.Is("withdraw") {
+		x.called = true
+		n.drops = append(n.drops, Decision{Verb: Withdraw, Ticket: t.id, Nth: k})
+	}
+}
+
+func (n *Node) free(i int32) {
+	if t := &n.tickets[i]; t.live {
+		t.live = false
+		if !t.queued {
+			n.ticketOf.drop(t.id)
+		}
+	}
+}
+
+// ---- Deciding.
+
+// Next is the next decision, or false when there is none for now.
+func (n *Node) Next() (Decision, bool) {
+	if n.now >= n.beatAt {
+		n.beat()
+	}
+	for {
+		if k := len(n.drops); k > 0 {
+			d := n.drops[k-1]
+			n.drops = n.drops[:k-1]
+			return d, true
+		}
+		if len(n.todo) == 0 {
+			break
+		}
+		i := n.todo[0]
+		n.todo = n.todo[1:]
+		t := &n.tickets[i]
+		t.queued = false
+		if !t.live {
+			n.ticketOf.drop(t.id)
+		} else if d, ok := n.decide(i); ok {
+			return d, true
+		}
+	}
+	n.todo = n.todo[:0]
+	if n.noteDue {
+		n.noteDue = false
+		return Decision{Verb: Note, Text: n.text}, true
+	}
+	if n.now >= n.tellAt {
+		n.tellAt = n.now + tellEvery
+		if n.set.Is("peers") && n.nodes > 1 {
+			return Decision{Verb: Tell, Text: n.tell()}, true
+		}
+	}
+	if n.watchAt > 0 && n.now >= n.watchAt && !n.watches {
+		n.watches = true
+		return Decision{Verb: Watch}, true
+	}
+	if n.wakeFor <= n.now {
+		n.wakeFor = n.beatAt
+		return Decision{Verb: Wake, Span: n.beatAt - n.now}, true
+	}
+	return Decision{}, false
+}
+
+// decide settles what happens with a ticket now; nothing may be the answer while a copy is out.
+func (n *Node) decide(i int32) (Decision, bool) {
+	t := &n.tickets[i]
+	spare := t.spare
+	t.spare = false
+	left := t.until - n.now - n.margin()
+	if t.closed || t.bound || (t.out > 0 && !spare) {
+		return Decision{}, false
+	}
+	ok := left > 0
+	var advice Time
+	if first := len(t.runs) == 0; ok && first {
+		ok, advice = n.admit(t)
+	} else if ok {
+		ok = n.further(t)
+	}
+	s := int32(-1)
+	if ok {
+		s = n.pick(t)
+	}
+	if s < 0 {
+		if t.out > 0 {
+			return Decision{}, false
+		}
+		return n.giveUp(i, advice), true
+	}
+	if len(t.runs) == 0 {
+		n.charge(t)
+		n.admitted++
+		n.extra = min(n.extra+extraEach, 2*float64(n.ready))
+	} else {
+		n.extra--
+	}
+	srv := &n.servers[s]
+	srv.open++
+	if n.coldShare(srv) < 1 {
+		n.coldLeak(srv)
+		srv.sentNow++
+	}
+	if n.now < srv.until || srv.misses > 0 {
+		srv.trying = true
+	}
+	t.runs = append(t.runs, execution{server: s, sent: n.now, out: true, mayRun: true})
+	if t.out++; t.out == 1 {
+		n.inWork++
+	}
+	n.customers[t.customer].out++
+	return Decision{Verb: Send, Ticket: t.id, Server: srv.Server, Span: left}, true
+}
+
+// margin keeps final answers clear of the outer limit: an end is seen a tick late, and so answered.
+func (n *Node) margin() Time { return 2*n.tick + n.contract/100 }
+
+// giveUp answers a ticket at once: bounced where trying again is harmless, else broken off.
+func (n *Node) giveUp(i int32, advice Time) Decision {
+	t := &n.tickets[i]
+	b := &n.bands[t.band]
+	harmless := b.repeats == replayable || b.repeats == referenced && b.group == "all"
+	if !harmless {
+		harmless = !slices.ContainsFunc(t.runs, func(x execution) bool { return x.mayRun })
+	}
+	d := Decision{Verb: BreakOff, Ticket: t.id}
+	if harmless {
+		d.Verb = Bounce
+		if n.set.Is("advice") {
+			d.Span = min(max(advice, n.contract/4), n.set.Span("advice.most"))
+		}
+	}
+	n.shut(i)
+	return d
+}
+
+// admit is the ordinary path: λ first, then the customer's bucket, then a ceiling.
+func (n *Node) admit(t *ticket) (bool, Time) {
+	if n.lambda == 0 { // fresh: a few executions a ready server
+		if float64(n.inWork) >= fresh*float64(n.ready) {
+			return false, interval
+		}
+	} else {
+		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
+		n.tokensAt = n.now
+		if n.tokens < 1 {
+			return false, interval
+		}
+	}
+	c := &n.customers[t.customer]
+	if ok, advice := n.inQuota(c, t); !ok {
+		return false, advice
+	}
+	return n.ceilingRoom(c, t), interval
+}
+
+// charge books an admitted ticket.
+func (n *Node) charge(t *ticket) {
+	c := &n.customers[t.customer]
+	n.tokens--
+	c.level -= t.guess / t.share
+	c.passed.add(t.guess, n.now, demandFade)
+	c.ceiling -= t.guess
+}
+
+// inQuota is the customer's bucket, kept in the whole customer's terms: it refills at the whole quota
+// and a ticket here stands for 1/part tickets at all nodes, which is a refill of quota times part.
+func (n *Node) inQuota(c *customer, t *ticket) (bool, Time) {
+	p := n.plans[c.plan]
+	t.share = n.part(c)
+	if p.open > 0 && c.out >= max(1, int(math.Round(t.share*float64(p.open)))) {
+		return false, Time(n.usualOf(&n.bands[t.band]))
+	}
+	if p.rate <= 0 {
+		return true, 0
+	}
+	c.level = min(c.level+p.rate*secs(n.now-c.filled), p.depth)
+	c.filled = n.now
+	if short := min(t.guess, p.depth) - c.level; short > 0 {
+		return false, Time(short / p.rate * float64(Second))
+	}
+	return true, 0
+}
+
+// part is this node's part of a customer's recent demand.
+func (n *Node) part(c *customer) float64 {
+	if c.spread <= 1 {
+		return 1
+	}
+	slice := 1 / float64(c.spread)
+	own := c.asked.rate(n.now, demandFade)
+	all := own
+	if n.set.Span("meter") > 0 {
+		if n.now-c.meterAt > silence || c.meterAt == 0 {
+			return slice
+		}
+		own = c.passed.rate(n.now, demandFade)
+		all = max(own, c.metered)
+	} else if n.set.Is("peers") {
+		if n.now-n.heardAt > silence || n.now-c.seen < 2*tellEvery {
+			return slice
+		}
+		for _, h := range c.peers {
+			if age := n.now - h.at; h.at > 0 && age < silence {
+				all += h.rate * math.Exp(-float64(max(0, age-2*tellEvery))/float64(demandFade))
+			}
+		}
+	} else {
+		return slice
+	}
+	if all <= 0 {
+		return slice
+	}
+	return min(1, max(own/all, slice*leastPart))
+}
+
+// quotaRate is a plan's quota in units a second; a cap on open executions is turned into one by
+// Little's law.
+func (n *Node) quotaRate(p plan) float64 {
+	if p.rate > 0 || p.open == 0 {
+		return p.rate
+	}
+	return float64(p.open) / n.usualOf(&n.bands[0]) * float64(Second)
+}
+
+// ceilingRoom keeps a plan's hard ceiling alone: 1/spread of it, as a customer comes in through no
+// other nodes than its set. It starts empty, since a node can't tell a restart from a first start.
+func (n *Node) ceilingRoom(c *customer, t *ticket) bool {
+	p := n.plans[c.plan]
+	if p.ceilingRate <= 0 && p.ceilingDepth <= 0 {
+		return true
+	}
+	share := 1 / float64(c.spread)
+	c.ceiling = min(c.ceiling+p.ceilingRate*share*secs(n.now-c.ceilingAt), p.ceilingDepth*share)
+	c.ceilingAt = n.now
+	return c.ceiling >= t.guess
+}
+
+// further tells whether a ticket may have another execution: by its band, by the rules on copies and
+// by the budget, which guards against a storm of repeats when much fails at once, from any cause. It
+// could harm when a few servers fail outright under light load; the budget then holds a good reserve.
+func (n *Node) further(t *ticket) bool {
+	if len(t.runs) >= max(1, int(n.set.Num("executions"))) || n.extra < 1 || t.out > 0 && !n.set.Is("copies") {
+		return false
+	}
+	b := &n.bands[t.band]
+	for _, x := range t.runs {
+		if x.mayRun && (b.repeats == singleUse || b.repeats == referenced && n.now >= x.sent+b.window) {
+			return false
+		}
+	}
+	return true
+}
+
+// pick is the smooth weighted rotation over the servers that may have the ticket: first those in good
+// standing, under their cap and not yet tried; then any in good standing; then suspected ones too.
+func (n *Node) pick(t *ticket) int32 {
+	b := &n.bands[t.band]
+	total, open, mean := 0.0, 0, n.meanPace()
+	for i := range n.servers {
+		s := &n.servers[i]
+		s.weight = 0
+		if s.usable() && n.mayHave(t, b, s) && n.coldRoom(s) {
+			s.weight = n.weigh(s, mean)
+			total += s.weight
+			open += s.open
+		}
+	}
+	for level := range 3 {
+		best, sum := int32(-1), 0.0
+		for i := range n.servers {
+			s := &n.servers[i]
+			if s.weight <= 0 || level < 2 && n.suspect(s) {
+				continue
+			}
+			if fair := float64(open+1) * s.weight / total; level == 0 &&
+				(float64(s.open) >= 1+paceCap*fair || tried(t, int32(i))) {
+				continue
+			}
+			// A fresh server is passed over by chance, less as it warms.
+			if share := n.coldShare(s); share < 1 && level == 0 && n.chance.unit() > share {
+				continue
+			}
+			s.turn += s.weight
+			sum += s.weight
+			if best < 0 || s.turn > n.servers[best].turn {
+				best = int32(i)
+			}
+		}
+		if best >= 0 {
+			n.servers[best].turn -= sum
+			return best
+		}
+	}
+	return -1
+}
+
+func tried(t *ticket, s int32) bool {
+	return slices.ContainsFunc(t.runs, func(x execution) bool { return x.server == s })
+}
+
+// mayHave keeps a referenced ticket that may have run inside its group.
+func (n *Node) mayHave(t *ticket, b *band, s *appServer) bool {
+	for _, x := range t.runs {
+		if o := &n.servers[x.server]; b.repeats == referenced && x.mayRun &&
+			(b.group == "zone" && o.Zone != s.Zone || b.group == "cell" && o.Cell != s.Cell) {
+			return false
+		}
+	}
+	return true
+}
+
+// weigh follows what a server was seen to manage: its listed size over its pace, squared when it falls
+// behind, since a slow server's answers come too late even at equal load.
+func (n *Node) weigh(s *appServer, mean float64) float64 {
+	w := s.Weight
+	if w <= 0 {
+		w = 1
+	}
+	s.pace.fadeTo(n.now, paceFade)
+	p := (s.pace.sum + pacePrior*mean) / (s.pace.n + pacePrior) / mean
+	if p > 1 {
+		p *= p
+	}
+	return w / p
+}
+
+func (n *Node) meanPace() float64 {
+	sum, k := 0.0, 0.0
+	for i := range n.servers {
+		if s := &n.servers[i]; s.usable() {
+			s.pace.fadeTo(n.now, paceFade)
+			sum, k = sum+s.pace.sum, k+s.pace.n
+		}
+	}
+	if k < 1 || sum <= 0 {
+		return 1
+	}
+	return sum / k
+}
+
+// suspect tells whether a server is out of the rotation; past its rest it gets one trial at a time.
+func (n *Node) suspect(s *appServer) bool {
+	return n.now < s.until || s.trying || n.silent(s)
+}
+
+// silent guards against servers that stand still or hang without an error: something has been out for
+// a good part of the contract time and nothing at all came back since. It covers cut links as well. It
+// could harm with very long executions at a trickle of traffic; then the others get it meanwhile.
+func (n *Node) silent(s *appServer) bool {
+	return s.open > 0 && s.sentCut > 0 && n.now-max(s.heard, s.sentCut) > Time(silentOver*float64(n.contract))
+}
+
+// coldShare is the least share of its capacity that a fresh server has by now.
+func (n *Node) coldShare(s *appServer) float64 {
+	span, from := n.set.Span("cold.span"), n.set.Num("cold.from")
+	if s.Started <= 0 || span <= 0 || n.now >= s.Started+span {
+		return 1
+	}
+	return from + (1-from)*max(0, float64(n.now-s.Started)/float64(span))
+}
+
+// coldRoom keeps the cold budget alone: of multiple x present capacity x span this node's share, in
+// executions, measured by what warm servers complete for this node; and few open at once, which
+// bounds the push even when nothing was seen yet.
+func (n *Node) coldRoom(s *appServer) bool {
+	share := n.coldShare(s)
+	if share >= 1 {
+		return true
+	}
+	n.coldLeak(s)
+	return s.open < 1+int(share*2) && s.sentNow+1 <= max(1, n.coldBudget(s))
+}
+
+// coldBudget is how many executions a cold server may get from this node in a span.
+func (n *Node) coldBudget(s *appServer) float64 {
+	warm := 0.0
+	if len(n.rates) > 0 && n.ready > 0 {
+		warm = n.rates[len(n.rates)-1] / float64(n.ready)
+	}
+	return coldMargin * n.set.Num("fall.multiple") * n.coldShare(s) * warm * secs(n.set.Span("fall.span"))
+}
+
+func (n *Node) coldLeak(s *appServer) {
+	if span := n.set.Span("fall.span"); span > 0 && s.coldAt > 0 {
+		s.sentNow = max(0, s.sentNow-max(1, n.coldBudget(s))*float64(n.now-s.coldAt)/float64(span))
+	}
+	s.coldAt = n.now
+}
+
+// beat looks over what is open: when each server was last given something that is still out, and
+// which executions are late. A late one gets a spare where copies are allowed and the back end is
+// quiet; where they are barred it is called back from a silent server and sent again once it has ended.
+func (n *Node) beat() {
+	n.beatAt = n.now + max(n.tick, n.contract/beats)
+	for i := range n.servers {
+		n.servers[i].sentCut = 0
+	}
+	for i := range n.tickets {
+		t := &n.tickets[i]
+		if !t.live || t.out == 0 {
+			continue
+		}
+		b := &n.bands[t.band]
+		due := max(Time(spareAt*float64(b.contract)), Time(spareOver*n.usualOf(b)))
+		for k := range t.runs {
+			x := &t.runs[k]
+			if !x.out {
+				continue
+			}
+			if s := &n.servers[x.server]; s.sentCut == 0 || x.sent < s.sentCut {
+				s.sentCut = x.sent
+			}
+			if t.closed || t.bound || t.out > 1 || n.now-x.sent < due || b.repeats == singleUse ||
+				n.now >= t.came+b.contract || n.extra < 1 {
+				continue
+			}
+			if n.set.Is("copies") && n.quiet {
+				t.spare = true
+				n.push(int32(i))
+			} else if !n.set.Is("copies") && n.suspect(&n.servers[x.server]) && n.further(t) {
+				n.recall(t, k)
+			}
+		}
+	}
+	if n.now >= n.intervalAt {
+		n.limit()
+	}
+}
+
+// limit closes an interval and sets λ = a/T.
+func (n *Node) limit() {
+	span := secs(n.now - n.began)
+	low, lowN := 0.0, 0.0
+	if n.completed > 0 {
+		low = n.took / float64(n.completed)
+	}
+	lat := 0.0
+	if n.ended > 0 {
+		lat = n.latency / float64(n.ended)
+		lowN = lat
+	} else if n.inWork > 0 {
+		lat = 1 // nothing came back at all
+	}
+	if low > 0 {
+		n.lows = keep(n.lows, low, recent)
+		n.lowsN = keep(n.lowsN, lowN, recent)
+	}
+	n.rates = keep(n.rates, float64(n.completed)/span, bestOver)
+	admitted := float64(n.admitted) / span
+	if len(n.lows) > 0 {
+		n.scale = slices.Min(n.lows) // T
+		least := min(slices.Min(n.lowsN), 0.5)
+		best := slices.Max(n.rates)
+		was := max(n.lastA, 1)
+		x := [4]float64{float64(n.inWork) / was, n.state[1], (lat - least) / (1 - least), n.state[3]}
+		x[1] += fade * (x[0] - x[1])
+		x[3] += fade * (x[2] - x[3])
+		n.state = x
+		n.quiet = x[2] < quietUnder
+		a := max(leastA, net(x)) * best * secs(Time(n.scale))
+		if n.quiet { // as for a fresh node, and not below what was let in
+			a = max(a, fresh*float64(n.ready), admitted*secs(Time(n.scale)))
+		}
+		n.lastA = a
+		if n.lambda == 0 {
+			n.tokens, n.tokensAt = 1, n.now
+		}
+		n.lambda = max(a/secs(Time(n.scale)), 1)
+	}
+	slices.Sort(n.tails)
+	tail := 0.0
+	if k := len(n.tails); k > 0 {
+		tail = n.tails[k*95/100]
+	}
+	n.text = fmt.Appendf(n.text[:0], "interval inflight=%d avg=%.3f lat=%.3f avg=%.3f lambda=%.1f a=%.2f"+
+		" admitted=%.1f completed=%.1f tail=%.3f scale=%d", n.inWork, n.state[1], n.state[2], n.state[3], n.lambda,
+		n.lastA, admitted, float64(n.completed)/span, tail, int(n.scale))
+	n.noteDue = true
+	n.admitted, n.completed, n.ended, n.latency, n.took, n.tails = 0, 0, 0, 0, 0, n.tails[:0]
+	n.began, n.intervalAt = n.now, n.now+interval
+	n.ageOut()
+}
+
+// net is the two-layer network's output for a state.
+func net(x [4]float64) float64 {
+	y := policy.out[4]
+	for j, w := range policy.hidden {
+		h := w[4]
+		for k, v := range x {
+			h += w[k] * v
+		}
+		y += policy.out[j] * max(0, h)
+	}
+	return y
+}
+
+// ageOut forgets customers that have long been idle, once their stores are surely full.
+func (n *Node) ageOut() {
+	for i := range n.customers {
+		c := &n.customers[i]
+		if !c.live || c.out > 0 || n.now-c.last < idleAfter {
+			continue
+		}
+		if p := n.plans[c.plan]; p.rate <= 0 || c.level+p.rate*secs(n.now-c.filled) >= p.depth {
+			c.live = false
+			n.customer.drop(c.key)
+		}
+	}
+}
+
+// tell writes the message to peers: customers with new use whose rate here is past half their even
+// slice. It goes out even when empty, so that silence means something.
+func (n *Node) tell() []byte {
+	out := append(n.text[:0], tellMark)
+	for range len(n.customers) {
+		n.tellPos = (n.tellPos + 1) % len(n.customers)
+		c := &n.customers[n.tellPos]
+		if !c.live || !c.newUse || c.spread <= 1 {
+			continue
+		}
+		rate := c.asked.rate(n.now, demandFade)
+		if rate <= n.quotaRate(n.plans[c.plan])/float64(2*c.spread) {
+			continue
+		}
+		was := len(out)
+		out = binary.AppendUvarint(out, c.key)
+		out = binary.AppendUvarint(out, uint64(rate*100))
+		if len(out) > maxTell {
+			out = out[:was]
+			n.tellPos--
+			if n.tellPos < 0 {
+				n.tellPos = len(n.customers) - 1
+			}
+			break
+		}
+		c.newUse = false
+	}
+	n.text = out
+	return out
+}
+
+// usualOf is a band's usual completed latency, before any a quarter of the contract time.
+func (n *Node) usualOf(b *band) float64 {
+	if b.took.n < 1 {
+		return float64(b.contract) / 4
+	}
+	return b.took.sum / b.took.n
+}
+
+func (f *faded) fadeTo(now, memory Time) {
+	if now > f.at {
+		k := math.Exp(-float64(now-f.at) / float64(memory))
+		f.sum, f.n, f.at = f.sum*k, f.n*k, now
+	}
+}
+
+func (f *faded) add(v float64, now, memory Time) {
+	f.fadeTo(now, memory)
+	f.sum, f.n = f.sum+v, f.n+1
+}
+
+// rate is the faded sum a second.
+func (f *faded) rate(now, memory Time) float64 {
+	f.fadeTo(now, memory)
+	return f.sum / secs(memory)
+}
+
+// keep appends v to the last k.
+func keep(list []float64, v float64, k int) []float64 {
+	if len(list) >= k {
+		list = append(list[:0], list[1:]...)
+	}
+	return append(list, v)
+}
+
+func secs(t Time) float64 { return float64(t) / float64(Second) }
+
+// unit is a number from 0 up to 1.
+func (m *mwc) unit() float64 {
+	v := uint64(4294957665)*uint64(m.x) + uint64(m.c)
+	m.x, m.c = uint32(v), uint32(v>>32)
+	return float64(m.x) / (1 << 32)
+}
--- /dev/null
+++ b/rules/types.go
@@ -0,0 +1,342 @@
+package rules
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Time is in whole tenths of a millisecond. Instants are on the host's clock.
+type Time int64
+
+// Second is one second of Time.
+const Second Time = 10000
+
+// Outcome is how an execution, or a probe, ended.
+type Outcome uint8
+
+// The outcomes. Full, Unreached and Moot prove that the execution never ran.
+const (
+	OK        Outcome = iota
+	Failed            // the app server answered with an error
+	Full              // turned away without being looked at
+	TimedOut          // no answer within the time allowed
+	Unreached         // no connection
+	Reset             // the connection broke
+	Withdrawn         // called back by this node
+	Moot              // never sent
+)
+
+// RosterKind is what a message of the server roster holds.
+type RosterKind uint8
+
+// The kinds of roster message.
+const (
+	Whole  RosterKind = iota // the whole list
+	Cached                   // the whole list as it was last seen, perhaps old
+	Missed                   // a call failed; nothing changes
+	Change                   // changed entries only
+)
+
+// State is what the roster says of an app server.
+type State uint8
+
+// The states of an app server.
+const (
+	Draining State = iota
+	Ready
+	Gone
+)
+
+// Listing is one entry of the roster.
+type Listing struct {
+	Server  uint32
+	Zone    uint8
+	Kind    uint16
+	Cell    uint16
+	State   State
+	Weight  float64
+	Started Time // latest start; 0 is long past
+}
+
+// Arrival is a ticket as it comes in.
+type Arrival struct {
+	ID       uint32
+	Band     int
+	Plan     int
+	Customer uint64
+	Left     Time // until the client gives up
+	Units    float64
+	Spread   int // how many nodes take in this customer
+	First    int // the number of the first of them
+}
+
+// Result is how an execution ended.
+type Result struct {
+	Ticket  uint32
+	Nth     int // number of the execution of its ticket, from 0
+	Server  uint32
+	Outcome Outcome
+	Took    Time
+	Settled bool    // the ticket has its final answer
+	Use     int     // 1 + the customer's use in percent of its rate, as metered; 0: not told
+	Units   float64 // the true units, once, with the first OK of plans settled afterwards
+	Load    []float64
+}
+
+// Verb is what a Decision asks of the host.
+type Verb uint8
+
+// The verbs.
+const (
+	Send Verb = iota + 1
+	Bounce
+	BreakOff
+	Withdraw
+	Wake
+	Probe
+	Tell
+	Watch
+	Note
+)
+
+// Decision is one answer of Next. Only the fields that its verb needs are set.
+type Decision struct {
+	Verb   Verb
+	Ticket uint32
+	Nth    int    // Withdraw
+	Server uint32 // Send, Probe
+	Span   Time   // Send: time-out; Bounce: retry advice; Wake: from now
+	Text   []byte // Tell, Note; good until the next call
+}
+
+// Settings are the figures handed over at start, by name.
+type Settings map[string]string
+
+// Num is a number, 0 where the name is missing.
+func (s Settings) Num(name string) float64 {
+	v, err := strconv.ParseFloat(s[name], 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
+// Span is a stretch of time.
+func (s Settings) Span(name string) Time { return Time(s.Num(name)) }
+
+// Is tells whether a setting is on.
+func (s Settings) Is(name string) bool { return s[name] == "true" }
+
+// At names a field of the i-th band or plan.
+func (s Settings) At(list string, i int, field string) string {
+	return list + "." + strconv.Itoa(i) + "." + field
+}
+
+// List is a list of words.
+func (s Settings) List(name string) []string {
+	if s[name] == "" {
+		return nil
+	}
+	return strings.Split(s[name], ",")
+}
+
+// index maps ids to small numbers, in order of first sight.
+type index[K comparable] struct {
+	of   map[K]int32
+	free []int32
+	n    int32
+}
+
+func newIndex[K comparable]() index[K] { return index[K]{of: map[K]int32{}} }
+
+// find is the number of id, or -1.
+func (x *index[K]) find(id K) int32 {
+	if i, ok := x.of[id]; ok {
+		return i
+	}
+	return -1
+}
+
+// add gives id a number; one past the end of the store asks the caller to grow it.
+func (x *index[K]) add(id K) int32 {
+	i := x.n
+	if k := len(x.free); k > 0 {
+		i, x.free = x.free[k-1], x.free[:k-1]
+	} else {
+		x.n++
+	}
+	x.of[id] = i
+	return i
+}
+
+// drop forgets id and lets its number be used again.
+func (x *index[K]) drop(id K) {
+	if i, ok := x.of[id]; ok {
+		delete(x.of, id)
+		x.free = append(x.free, i)
+	}
+}
+
+// repeatKind is what a band allows.
+type repeatKind uint8
+
+const (
+	replayable repeatKind = iota
+	referenced
+	singleUse
+)
+
+// band is a band's settings and what was seen of its work.
+type band struct {
+	contract, window Time
+	repeats          repeatKind
+	group            string // referenced: all, zone or cell
+	took             faded  // completed latencies
+}
+
+// plan is a plan's settings.
+type plan struct {
+	rate, depth               float64
+	open                      int
+	ceilingRate, ceilingDepth float64
+}
+
+// execution lives from its send until its end.
+type execution struct {
+	server int32
+	sent   Time
+	out    bool
+	mayRun bool // not proven unrun
+	called bool // withdrawn
+}
+
+// ticket lives from arrival until its final answer has gone and nothing of it is out.
+type ticket struct {
+	id       uint32
+	live     bool // the slot is in use
+	closed   bool // the final answer has gone
+	queued   bool // waits for Next
+	bound    bool // a stream has begun
+	spare    bool // a spare copy is due
+	band     int
+	plan     int
+	customer int32
+	came     Time
+	until    Time // the client gives up
+	guess    float64
+	share    float64 // the part that the bucket was charged by
+	runs     []execution
+	out      int
+}
+
+// appServer lives as long as the roster, or an execution out, names it.
+type appServer struct {
+	Listing
+	known   bool
+	open    int
+	pace    faded // latencies over their band's usual one
+	turn    float64
+	weight  float64 // as of this pick
+	misses  int     // ends without an answer in a row
+	until   Time    // suspected until then
+	shut    Time    // how long the last suspicion lasted
+	trying  bool    // one trial execution is out after a suspicion
+	heard   Time    // last answer of any kind
+	sentCut Time    // send of the oldest execution that was out at the last beat
+	coldAt  Time    // when sentNow was last brought up to date
+	sentNow float64 // executions counted against the cold budget
+}
+
+// customer lives until it has been idle for long.
+type customer struct {
+	key       uint64
+	live      bool
+	plan      int
+	spread    int
+	first     int
+	seen      Time // first sight
+	last      Time // last ticket
+	level     float64
+	filled    Time
+	asked     faded // units asked here, a decayed sum
+	passed    faded // units sent on here
+	newUse    bool
+	metered   float64 // units a second over all nodes
+	meterAt   Time
+	out       int
+	ceiling   float64
+	ceilingAt Time
+	peers     []heardRate
+}
+
+// heardRate is what a peer last told of a customer.
+type heardRate struct {
+	rate float64
+	at   Time
+}
+
+// faded is a sum and a count that fade with time.
+type faded struct {
+	sum, n float64
+	at     Time
+}
+
+// Node is one instance of the module: all that this edge node knows.
+type Node struct {
+	set      Settings
+	now      Time
+	me       int
+	nodes    int
+	tick     Time
+	bands    []band
+	plans    []plan
+	contract Time // the shortest contract time
+	chance   mwc
+
+	servers   []appServer
+	serverOf  index[uint32]
+	tickets   []ticket
+	ticketOf  index[uint32]
+	customers []customer
+	customer  index[uint64]
+
+	todo  []int32    // tickets to decide on
+	drops []Decision // executions to call back
+	text  []byte
+
+	ready   int     // app servers listed as ready
+	inWork  int     // tickets with an execution out
+	extra   float64 // further executions left in the budget
+	beatAt  Time
+	wakeFor Time
+	tellAt  Time
+	tellPos int
+	heardAt Time // last message of any peer
+	meterAt Time // last metered figure
+	watchAt Time // when to ask for the roster; 0: never
+	watches bool
+
+	// The limit.
+	intervalAt Time
+	began      Time
+	lambda     float64
+	tokens     float64
+	tokensAt   Time
+	quiet      bool
+	scale      float64 // T, lowest recent interval latency, in Time
+	admitted   int
+	completed  int
+	ended      int
+	latency    float64   // sum over ends of time over contract time
+	took       float64   // sum over completed of time
+	tails      []float64 // time over contract time of the interval's ends
+	lows       []float64 // recent interval latencies, in Time
+	lowsN      []float64 // the same over contract time
+	rates      []float64 // recent completed rates
+	state      [4]float64
+	lastA      float64
+	noteDue    bool
+}
+
+// mwc is a multiply-with-carry generator.
+type mwc struct{ x, c uint32 }
