--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,7 +24,9 @@
 // Tuned values, as ratios to settings or to what was seen.
 const (
 	interval   = Second // of the limit, as the design says
-	fresh      = 3.0    // executions a ready server, for a fresh node
+	fresh      = 6.0    // executions a ready server by all nodes, this node's even share while fresh
+	openMost   = 0.4    // of the contract time, that what is out may take to complete
+	openLeast  = 3.0    // executions a ready server by all nodes that are let out in any case
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	fade       = 0.3    // of the features' moving averages, an interval
@@ -54,7 +56,7 @@
 )
 
 // policy is the two-layer map: hidden units over {in-flight, its average, latency, its average}, bias
-// last, then one output. In-flight is over the last a, latency runs from 0 (as low as seen lately) to
+// last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as low as seen lately) to
 // 1 (the contract time). Hand-set until fitted: flat while quiet, falling as either rises.
 var policy = struct {
 	hidden [4][5]float64
@@ -63,10 +65,10 @@
 	hidden: [4][5]float64{
 		{0, 0, 1, 0, -quietUnder},
 		{0, 0, 0, 1, -quietUnder},
-		{1, 0, 0, 0, -4},
-		{0, 1, 0, 0, -4},
+		{1, 0, 0, 0, -quietUnder},
+		{0, 1, 0, 0, -quietUnder},
 	},
-	out: [5]float64{-0.6, -0.6, -0.02, -0.02, 1.3},
+	out: [5]float64{-0.4, -0.4, -0.4, -0.4, 1.3},
 }
 
 // New makes a node that knows its settings only.
@@ -461,7 +463,7 @@
 // admit is the ordinary path: λ first, then the customer's bucket, then a ceiling.
 func (n *Node) admit(t *ticket) (bool, Time) {
 	if n.lambda == 0 { // fresh: a few executions a ready server
-		if float64(n.inWork) >= fresh*float64(n.ready) {
+		if float64(n.inWork) >= n.few(fresh) {
 			return false, interval
 		}
 	} else {
@@ -471,6 +473,9 @@
 			return false, interval
 		}
 	}
+	if n.lambda > 0 && float64(n.inWork) >= max(n.few(openLeast), openMost*n.canFinish()) {
+		return false, interval
+	}
 	c := &n.customers[t.customer]
 	if ok, advice := n.inQuota(c, t); !ok {
 		return false, advice
@@ -478,6 +483,22 @@
 	return n.ceilingRoom(c, t), interval
 }
 
+// few is this node's even share of so many executions a ready server.
+func (n *Node) few(each float64) float64 { return max(1, each*float64(n.ready)/float64(n.nodes)) }
+
+// canFinish is how many executions this node saw completed, of late, in a contract time. What is out
+// over it is the wait that a ticket let in now faces, and shows at once what completed latencies show
+// only when the wait is over. The cap on it guards against a back end that fills within an interval,
+// by a burst, a slowdown or a crowd of repeats. It could harm after a lull, when little was asked
+// for and so little completed: openLeast lets a node grow from there.
+func (n *Node) canFinish() float64 {
+	best := 0.0
+	if len(n.rates) > 0 {
+		best = slices.Max(n.rates[max(0, len(n.rates)-3):])
+	}
+	return best * secs(n.contract)
+}
+
 // charge books an admitted ticket.
 func (n *Node) charge(t *ticket) {
 	c := &n.customers[t.customer]
@@ -776,15 +797,14 @@
 		n.scale = slices.Min(n.lows) // T
 		least := min(slices.Min(n.lowsN), 0.5)
 		best := slices.Max(n.rates)
-		was := max(n.lastA, 1)
-		x := [4]float64{float64(n.inWork) / was, n.state[1], (lat - least) / (1 - least), n.state[3]}
+		x := [4]float64{float64(n.inWork) / max(n.few(openLeast), n.canFinish()), n.state[1], (lat - least) / (1 - least), n.state[3]}
 		x[1] += fade * (x[0] - x[1])
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
 		n.quiet = x[2] < quietUnder
 		a := max(leastA, net(x)) * best * secs(Time(n.scale))
 		if n.quiet { // as for a fresh node, and not below what was let in
-			a = max(a, fresh*float64(n.ready), admitted*secs(Time(n.scale)))
+			a = max(a, n.few(fresh), admitted*secs(Time(n.scale)))
 		}
 		n.lastA = a
 		if n.lambda == 0 {
