--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,9 +24,9 @@
 // Tuned values, as ratios to settings or to what was seen.
 const (
 	interval   = Second // of the limit, as the design says
-	fresh      = 6.0    // executions a ready server by all nodes, this node's even share while fresh
-	openMost   = 0.4    // of the contract time, that what is out may take to complete
-	openLeast  = 3.0    // executions a ready server by all nodes that are let out in any case
+	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
+	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
+	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	fade       = 0.3    // of the features' moving averages, an interval
@@ -41,13 +41,14 @@
 	idleAfter  = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell    = 256           // bytes a message holds
 
-	paceFade   = 5 * interval // memory of a server's pace
-	pacePrior  = 6.0          // answers' worth of belief that a server is like the others
-	paceCap    = 2.0          // open executions over the fair share
-	missesMost = 2            // errors or time-outs in a row before suspicion
-	shutMost   = 8            // longest suspicion, in contract times
-	silentOver = 0.33         // of the contract time without any answer
-	coldMargin = 0.5          // of the cold budget that is used
+	paceFade    = 5 * interval // memory of a server's pace
+	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
+	paceCap     = 2.0          // open executions over the fair share
+	missesMost  = 2            // errors or time-outs in a row before suspicion
+	shutMost    = 8            // longest suspicion, in contract times
+	silentOver  = 0.33         // of the contract time without any answer
+	silentTimes = 3.0          // and times the slowest band's usual latency
+	coldMargin  = 0.5          // of the cold budget that is used
 
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
@@ -200,8 +201,10 @@
 	if t.out == 0 {
 		n.inWork--
 	}
-	n.judge(&n.servers[x.server], b, r.Outcome, r.Took)
-	if r.Outcome != Moot && r.Outcome != Withdrawn {
+	s := &n.servers[x.server]
+	lone := n.now < s.until // its ends tell of that server, not of pressure
+	n.judge(s, b, r.Outcome, r.Took)
+	if r.Outcome == OK || !lone && r.Outcome != Moot && r.Outcome != Withdrawn {
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = max(part, 1) // work that brought no answer tells of pressure whatever its time
@@ -463,7 +466,7 @@
 // admit is the ordinary path: λ first, then the customer's bucket, then a ceiling.
 func (n *Node) admit(t *ticket) (bool, Time) {
 	if n.lambda == 0 { // fresh: a few executions a ready server
-		if float64(n.inWork) >= n.few(fresh) {
+		if n.pressing() >= n.few(fresh) {
 			return false, interval
 		}
 	} else {
@@ -473,7 +476,7 @@
 			return false, interval
 		}
 	}
-	if n.lambda > 0 && float64(n.inWork) >= max(n.few(openLeast), openMost*n.canFinish()) {
+	if n.lambda > 0 && n.pressing() >= max(n.few(openLeast), openOver*n.canFinish(Time(n.scale))) {
 		return false, interval
 	}
 	c := &n.customers[t.customer]
@@ -491,12 +494,31 @@
 // only when the wait is over. The cap on it guards against a back end that fills within an interval,
 // by a burst, a slowdown or a crowd of repeats. It could harm after a lull, when little was asked
 // for and so little completed: openLeast lets a node grow from there.
-func (n *Node) canFinish() float64 {
+func (n *Node) canFinish(span Time) float64 {
 	best := 0.0
 	if len(n.rates) > 0 {
 		best = slices.Max(n.rates[max(0, len(n.rates)-3):])
 	}
-	return best * secs(n.contract)
+	return best * secs(span)
+}
+
+// pressing is what is out at servers in good standing: the in-flight that tells of the back end's
+// queue. What hangs on a suspected server waits for nothing that the others do.
+func (n *Node) pressing() float64 {
+	sound, all, resting := 0, 0, 0
+	for i := range n.servers {
+		s := &n.servers[i]
+		all += s.open
+		if n.now < s.until || n.silent(s) {
+			resting++
+		} else {
+			sound += s.open
+		}
+	}
+	if 2*resting > n.ready { // that many at once is pressure
+		return float64(all)
+	}
+	return float64(sound)
 }
 
 // charge books an admitted ticket.
@@ -693,7 +715,7 @@
 // a good part of the contract time and nothing at all came back since. It covers cut links as well. It
 // could harm with very long executions at a trickle of traffic; then the others get it meanwhile.
 func (n *Node) silent(s *appServer) bool {
-	return s.open > 0 && s.sentCut > 0 && n.now-max(s.heard, s.sentCut) > Time(silentOver*float64(n.contract))
+	return s.open > 0 && s.sentCut > 0 && n.now-max(s.heard, s.sentCut) > n.patience
 }
 
 // coldShare is the least share of its capacity that a fresh server has by now.
@@ -738,6 +760,10 @@
 // quiet; where they are barred it is called back from a silent server and sent again once it has ended.
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
+	n.patience = Time(silentOver * float64(n.contract))
+	for i := range n.bands {
+		n.patience = max(n.patience, Time(silentTimes*n.usualOf(&n.bands[i])))
+	}
 	for i := range n.servers {
 		n.servers[i].sentCut = 0
 	}
@@ -797,7 +823,7 @@
 		n.scale = slices.Min(n.lows) // T
 		least := min(slices.Min(n.lowsN), 0.5)
 		best := slices.Max(n.rates)
-		x := [4]float64{float64(n.inWork) / max(n.few(openLeast), n.canFinish()), n.state[1], (lat - least) / (1 - least), n.state[3]}
+		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1], (lat - least) / (1 - least), n.state[3]}
 		x[1] += fade * (x[0] - x[1])
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
--- a/rules/types.go
+++ b/rules/types.go
@@ -304,17 +304,18 @@
 	drops []Decision // executions to call back
 	text  []byte
 
-	ready   int     // app servers listed as ready
-	inWork  int     // tickets with an execution out
-	extra   float64 // further executions left in the budget
-	beatAt  Time
-	wakeFor Time
-	tellAt  Time
-	tellPos int
-	heardAt Time // last message of any peer
-	meterAt Time // last metered figure
-	watchAt Time // when to ask for the roster; 0: never
-	watches bool
+	ready    int     // app servers listed as ready
+	patience Time    // how long a server may be silent
+	inWork   int     // tickets with an execution out
+	extra    float64 // further executions left in the budget
+	beatAt   Time
+	wakeFor  Time
+	tellAt   Time
+	tellPos  int
+	heardAt  Time // last message of any peer
+	meterAt  Time // last metered figure
+	watchAt  Time // when to ask for the roster; 0: never
+	watches  bool
 
 	// The limit.
 	intervalAt Time
