--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,7 +26,9 @@
 	interval   = Second // of the limit, as the design says
 	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
+	openQuiet  = 2.5    // times both of these while latency is quiet
 	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
+	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	fade       = 0.3    // of the features' moving averages, an interval
@@ -57,8 +59,8 @@
 )
 
 // policy is the two-layer map: hidden units over {in-flight, its average, latency, its average}, bias
-// last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as low as seen lately) to
-// 1 (the contract time). Hand-set until fitted: flat while quiet, falling as either rises.
+// last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as low as seen lately) to 1
+// (latSpan times that on top). Hand-set until fitted: flat while quiet, falling as either rises.
 var policy = struct {
 	hidden [4][5]float64
 	out    [5]float64
@@ -476,7 +478,7 @@
 			return false, interval
 		}
 	}
-	if n.lambda > 0 && n.pressing() >= max(n.few(openLeast), openOver*n.canFinish(Time(n.scale))) {
+	if n.lambda > 0 && n.pressing() >= n.openCap() {
 		return false, interval
 	}
 	c := &n.customers[t.customer]
@@ -502,6 +504,16 @@
 	return best * secs(span)
 }
 
+// openCap is how much may be out: wide while latency is quiet, since a node may have to take over the
+// load of others that died within a second.
+func (n *Node) openCap() float64 {
+	k := 1.0
+	if n.quiet {
+		k = openQuiet
+	}
+	return k * max(n.few(openLeast), openOver*n.canFinish(Time(n.scale)))
+}
+
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's
 // queue. What hangs on a suspected server waits for nothing that the others do.
 func (n *Node) pressing() float64 {
@@ -811,7 +823,7 @@
 		lat = n.latency / float64(n.ended)
 		lowN = lat
 	} else if n.inWork > 0 {
-		lat = 1 // nothing came back at all
+		lat = 1 // nothing came back at all: a contract time at least
 	}
 	if low > 0 {
 		n.lows = keep(n.lows, low, recent)
@@ -821,9 +833,9 @@
 	admitted := float64(n.admitted) / span
 	if len(n.lows) > 0 {
 		n.scale = slices.Min(n.lows) // T
-		least := min(slices.Min(n.lowsN), 0.5)
+		least := min(slices.Min(n.lowsN), 1/(1+latSpan))
 		best := slices.Max(n.rates)
-		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1], (lat - least) / (1 - least), n.state[3]}
+		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1], (lat/least - 1) / latSpan, n.state[3]}
 		x[1] += fade * (x[0] - x[1])
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
