--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,7 +26,7 @@
 	interval   = Second // of the limit, as the design says
 	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
-	openQuiet  = 2.5    // times both of these while latency is quiet
+	openQuiet  = 2.5    // times the least allowance while latency is quiet
 	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
@@ -507,11 +507,11 @@
 // openCap is how much may be out: wide while latency is quiet, since a node may have to take over the
 // load of others that died within a second.
 func (n *Node) openCap() float64 {
-	k := 1.0
+	least := n.few(openLeast)
 	if n.quiet {
-		k = openQuiet
+		least *= openQuiet
 	}
-	return k * max(n.few(openLeast), openOver*n.canFinish(Time(n.scale)))
+	return max(least, openOver*n.canFinish(Time(n.scale)))
 }
 
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's
