--- a/rules/rules.go
+++ b/rules/rules.go
@@ -77,7 +77,7 @@
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
 	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
-		beatAt: now, tokensAt: now, quiet: true, heardAt: now - silence,
+		beatAt: now, tokensAt: now, quiet: true, heardAt: now - silence, meterAt: now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
@@ -224,7 +224,8 @@
 		}
 	}
 	if p := n.plans[c.plan]; r.Use > 0 {
-		n.meter(c, float64(r.Use-1)/100*n.quotaRate(p))
+		n.meterAt, c.meterAt = n.now, n.now
+		c.metered = float64(r.Use-1) / 100 * n.quotaRate(p)
 	}
 	if r.Settled {
 		n.shut(i)
@@ -237,16 +238,6 @@
 	}
 }
 
-// meter takes in a metered rate, averaged over the same memory as this node's own.
-func (n *Node) meter(c *customer, rate float64) {
-	gone := min(n.now-c.meterAt, n.set.Span("meter"))
-	if c.meterAt == 0 {
-		c.metered = rate
-	}
-	c.metered += (rate - c.metered) * (1 - math.Exp(-float64(gone)/float64(demandFade)))
-	c.meterAt = n.now
-}
-
 // judge learns of a server from one end. It guards against servers that fail, cut links and processes
 // that hang; it covers a lost zone too. It could harm where errors come from the tickets themselves:
 // then servers rest for a contract time by turns, and pick falls back on all when none is left.
