Blend the metered part with belief in the even slice

Covers any noise or lag of the meter; could harm a customer all of whose traffic enters by one node: it gets half its quota there.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,12 +36,13 @@
 	bestOver   = 8      // intervals that the best completed rate looks back on
 	burstOf    = 0.4    // share of an interval's λ that may be used at once
 
-	demandFade = 2 * interval  // memory of a customer's demand
-	tellEvery  = interval / 3  // between messages to peers
-	silence    = 4 * interval  // without word of peers or meter
-	leastPart  = 0.2           // of the even slice
-	idleAfter  = 60 * interval // a customer ages out, if its bucket is full by then
-	maxTell    = 256           // bytes a message holds
+	demandFade  = 2 * interval  // memory of a customer's demand
+	tellEvery   = interval / 3  // between messages to peers
+	silence     = 4 * interval  // without word of peers or meter
+	sliceBelief = 3.0           // of the quota, belief in the even slice against metered use
+	leastPart   = 0.2           // of the even slice
+	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
+	maxTell     = 256           // bytes a message holds
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
@@ -573,8 +574,12 @@
 		if n.now-c.meterAt > silence || c.meterAt == 0 {
 			return slice
 		}
+		// Use follows what was let in, so a part by use alone would feed on itself: some belief in the
+		// even slice keeps a node whose customer was held back from shrinking further.
+		belief := sliceBelief * n.quotaRate(n.plans[c.plan])
 		own = c.passed.rate(n.now, demandFade)
-		all = max(own, c.metered)
+		all = max(own, c.metered) + belief
+		own += belief * slice
 	} else if n.set.Is("peers") {
 		if n.now-n.heardAt > silence || n.now-c.seen < 2*tellEvery {
 			return slice
