--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,7 +39,7 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
-	sliceBelief = 3.0           // of the quota, belief in the even slice against metered use
+	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
@@ -574,12 +574,8 @@
 		if n.now-c.meterAt > silence || c.meterAt == 0 {
 			return slice
 		}
-		// Use follows what was let in, so a part by use alone would feed on itself: some belief in the
-		// even slice keeps a node whose customer was held back from shrinking further.
-		belief := sliceBelief * n.quotaRate(n.plans[c.plan])
 		own = c.passed.rate(n.now, demandFade)
-		all = max(own, c.metered) + belief
-		own += belief * slice
+		all = max(own, c.metered)
 	} else if n.set.Is("peers") {
 		if n.now-n.heardAt > silence || n.now-c.seen < 2*tellEvery {
 			return slice
@@ -589,13 +585,19 @@
 				all += h.rate * math.Exp(-float64(max(0, age-2*tellEvery))/float64(demandFade))
 			}
 		}
+		if all == own { // nobody reports the customer
+			return 1
+		}
 	} else {
 		return slice
 	}
-	if all <= 0 {
+	// Some belief in the even slice: metered use follows what was let in, so a part by use alone would
+	// feed on itself, and peers tell late and not of small rates.
+	belief := sliceBelief * n.quotaRate(n.plans[c.plan])
+	if all+belief <= 0 {
 		return slice
 	}
-	return min(1, max(own/all, slice*leastPart))
+	return min(1, max((own+belief*slice)/(all+belief), slice*leastPart))
 }
 
 // quotaRate is a plan's quota in units a second; a cap on open executions is turned into one by
