T rests on thirty ends at least, gathered over intervals

Covers idle nodes too; could harm a node with very little traffic, which stays at its fresh allowance for longer.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -32,6 +32,7 @@
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	fade       = 0.3    // of the features' moving averages, an interval
+	enough     = 30     // ends that a latency must rest on to count for T
 	recent     = 30     // intervals that T looks back on
 	bestOver   = 8      // intervals that the best completed rate looks back on
 	burstOf    = 0.4    // share of an interval's λ that may be used at once
@@ -218,6 +219,7 @@
 	}
 	if r.Outcome == OK {
 		n.completed++
+		n.lowDone++
 		n.took += float64(r.Took)
 		b.took.add(float64(r.Took), n.now, paceFade)
 		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
@@ -821,20 +823,19 @@
 // limit closes an interval and sets λ = a/T.
 func (n *Node) limit() {
 	span := secs(n.now - n.began)
-	low, lowN := 0.0, 0.0
-	if n.completed > 0 {
-		low = n.took / float64(n.completed)
-	}
 	lat := 0.0
 	if n.ended > 0 {
 		lat = n.latency / float64(n.ended)
-		lowN = lat
 	} else if n.inWork > 0 {
 		lat = 1 // nothing came back at all: a contract time at least
 	}
-	if low > 0 {
-		n.lows = keep(n.lows, low, recent)
-		n.lowsN = keep(n.lowsN, lowN, recent)
+	// T takes enough ends, gathered over intervals if need be. The first few to come back are the short
+	// ones: a fresh or idle node that went by them would take every later latency for a jam.
+	n.lowEnded, n.lowLatency = n.lowEnded+n.ended, n.lowLatency+n.latency
+	if n.lowDone >= enough && n.lowDone >= n.inWork {
+		n.lows = keep(n.lows, n.took/float64(n.lowDone), recent)
+		n.lowsN = keep(n.lowsN, n.lowLatency/float64(n.lowEnded), recent)
+		n.took, n.lowDone, n.lowEnded, n.lowLatency = 0, 0, 0, 0
 	}
 	n.rates = keep(n.rates, float64(n.completed)/span, bestOver)
 	admitted := float64(n.admitted) / span
@@ -866,7 +867,7 @@
 		" admitted=%.1f completed=%.1f tail=%.3f scale=%d", n.inWork, n.state[1], n.state[2], n.state[3], n.lambda,
 		n.lastA, admitted, float64(n.completed)/span, tail, int(n.scale))
 	n.noteDue = true
-	n.admitted, n.completed, n.ended, n.latency, n.took, n.tails = 0, 0, 0, 0, 0, n.tails[:0]
+	n.admitted, n.completed, n.ended, n.latency, n.tails = 0, 0, 0, 0, n.tails[:0]
 	n.began, n.intervalAt = n.now, n.now+interval
 	n.ageOut()
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -318,25 +318,27 @@
 	watches  bool
 
 	// The limit.
-	intervalAt Time
-	began      Time
-	lambda     float64
-	tokens     float64
-	tokensAt   Time
-	quiet      bool
-	scale      float64 // T, lowest recent interval latency, in Time
-	admitted   int
-	completed  int
-	ended      int
-	latency    float64   // sum over ends of time over contract time
-	took       float64   // sum over completed of time
-	tails      []float64 // time over contract time of the interval's ends
-	lows       []float64 // recent interval latencies, in Time
-	lowsN      []float64 // the same over contract time
-	rates      []float64 // recent completed rates
-	state      [4]float64
-	lastA      float64
-	noteDue    bool
+	intervalAt        Time
+	began             Time
+	lambda            float64
+	tokens            float64
+	tokensAt          Time
+	quiet             bool
+	scale             float64 // T, lowest recent interval latency, in Time
+	admitted          int
+	completed         int
+	ended             int
+	latency           float64   // sum over ends of time over contract time
+	took              float64   // sum over completed of time
+	tails             []float64 // time over contract time of the interval's ends
+	lowDone, lowEnded int       // ends gathered for T
+	lowLatency        float64
+	lows              []float64 // recent interval latencies, in Time
+	lowsN             []float64 // the same over contract time
+	rates             []float64 // recent completed rates
+	state             [4]float64
+	lastA             float64
+	noteDue           bool
 }
 
 // mwc is a multiply-with-carry generator.
