--- a/rules/rules.go
+++ b/rules/rules.go
@@ -50,8 +50,7 @@
 	paceCap     = 2.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
-	silentOver  = 0.33         // of the contract time without any answer
-	silentTimes = 3.0          // and times the slowest band's usual latency
+	silentAfter = 6.0          // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.25         // of the cold budget that is used at once, and as much again over a span
 
 	extraEach = 0.2  // further executions earned by a first one
@@ -245,12 +244,15 @@
 // that hang; it covers a lost zone too. It could harm where errors come from the tickets themselves:
 // then servers rest for a contract time by turns, and pick falls back on all when none is left.
 func (n *Node) judge(s *appServer, b *band, o Outcome, took Time) {
+	trial, mute := s.trying, n.silent(s)
 	s.open--
-	trial := s.trying
 	s.trying = false
+	if o == Withdrawn && mute { // called back for its silence
+		o, trial = TimedOut, true
+	}
 	switch o {
 	case OK:
-		s.misses, s.shut, s.until, s.heard = 0, 0, 0, n.now
+		s.misses, s.shut, s.until, s.heard, s.waited = 0, 0, 0, n.now, 0
 		s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
 	case Full: // it answers, but has no room: leave it for about one execution
 		s.heard = n.now
@@ -520,19 +522,12 @@
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's
 // queue. What hangs on a suspected server waits for nothing that the others do.
 func (n *Node) pressing() float64 {
-	sound, all, resting := 0, 0, 0
+	sound := 0
 	for i := range n.servers {
-		s := &n.servers[i]
-		all += s.open
-		if n.now < s.until || n.silent(s) {
-			resting++
-		} else {
+		if s := &n.servers[i]; !n.suspect(s) {
 			sound += s.open
 		}
 	}
-	if 2*resting > n.ready { // that many at once is pressure
-		return float64(all)
-	}
 	return float64(sound)
 }
 
@@ -628,7 +623,7 @@
 // by the budget, which guards against a storm of repeats when much fails at once, from any cause. It
 // could harm when a few servers fail outright under light load; the budget then holds a good reserve.
 func (n *Node) further(t *ticket) bool {
-	if len(t.runs) >= max(1, int(n.set.Num("executions"))) || n.extra < 1 || t.out > 0 && !n.set.Is("copies") {
+	if len(t.runs) >= max(1, int(n.set.Num("executions"))) || n.extra < 1 {
 		return false
 	}
 	b := &n.bands[t.band]
@@ -732,12 +727,11 @@
 	return n.now < s.until || s.trying || n.silent(s)
 }
 
-// silent guards against servers that stand still or hang without an error: something has been out for
-// a good part of the contract time and nothing at all came back since. It covers cut links as well. It
-// could harm with very long executions at a trickle of traffic; then the others get it meanwhile.
-func (n *Node) silent(s *appServer) bool {
-	return s.open > 0 && s.sentCut > 0 && n.now-max(s.heard, s.sentCut) > n.patience
-}
+// silent guards against servers that stand still or hang without an error, and against cut links: what
+// is out there has together waited for so many usual latencies, with nothing at all coming back, that
+// chance hardly explains it. One long execution alone is given much more time than several at once. It
+// could harm where works differ far more than usual; the others then take the server's turn meanwhile.
+func (n *Node) silent(s *appServer) bool { return s.open > 0 && s.waited > silentAfter }
 
 // coldShare is the least share of its capacity that a fresh server has by now.
 func (n *Node) coldShare(s *appServer) float64 {
@@ -776,17 +770,21 @@
 	s.coldAt = n.now
 }
 
-// beat looks over what is open: when each server was last given something that is still out, and
-// which executions are late. A late one gets a spare where copies are allowed and the back end is
+// beat looks over what is open: how long each server has owed its answers, and which executions are
+// late. A late one gets a spare where copies are allowed and the back end is
 // quiet; where they are barred it is called back from a silent server and sent again once it has ended.
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
-	n.patience = Time(silentOver * float64(n.contract))
-	for i := range n.bands {
-		n.patience = max(n.patience, Time(silentTimes*n.usualOf(&n.bands[i])))
-	}
 	for i := range n.servers {
-		n.servers[i].sentCut = 0
+		n.servers[i].waited = 0
+	}
+	for i := range n.tickets {
+		t := &n.tickets[i]
+		for _, x := range t.runs {
+			if s := &n.servers[x.server]; t.live && x.out {
+				s.waited += float64(n.now-max(x.sent, s.heard)) / n.usualOf(&n.bands[t.band])
+			}
+		}
 	}
 	for i := range n.tickets {
 		t := &n.tickets[i]
@@ -800,9 +798,7 @@
 			if !x.out {
 				continue
 			}
-			if s := &n.servers[x.server]; s.sentCut == 0 || x.sent < s.sentCut {
-				s.sentCut = x.sent
-			}
+			s := &n.servers[x.server]
 			if t.closed || t.bound || t.out > 1 || n.now-x.sent < due || b.repeats == singleUse ||
 				n.now >= t.came+b.contract || n.extra < 1 {
 				continue
@@ -810,7 +806,7 @@
 			if n.set.Is("copies") && n.quiet {
 				t.spare = true
 				n.push(int32(i))
-			} else if !n.set.Is("copies") && n.suspect(&n.servers[x.server]) && n.further(t) {
+			} else if !n.set.Is("copies") && n.suspect(s) && n.further(t) {
 				n.recall(t, k)
 			}
 		}
--- a/rules/types.go
+++ b/rules/types.go
@@ -242,7 +242,7 @@
 	shut    Time    // how long the last suspicion lasted
 	trying  bool    // one trial execution is out after a suspicion
 	heard   Time    // last answer of any kind
-	sentCut Time    // send of the oldest execution that was out at the last beat
+	waited  float64 // usual latencies that what is out has waited for since the last answer
 	coldAt  Time    // when sentNow was last brought up to date
 	sentNow float64 // executions counted against the cold budget
 }
@@ -304,18 +304,17 @@
 	drops []Decision // executions to call back
 	text  []byte
 
-	ready    int     // app servers listed as ready
-	patience Time    // how long a server may be silent
-	inWork   int     // tickets with an execution out
-	extra    float64 // further executions left in the budget
-	beatAt   Time
-	wakeFor  Time
-	tellAt   Time
-	tellPos  int
-	heardAt  Time // last message of any peer
-	meterAt  Time // last metered figure
-	watchAt  Time // when to ask for the roster; 0: never
-	watches  bool
+	ready   int     // app servers listed as ready
+	inWork  int     // tickets with an execution out
+	extra   float64 // further executions left in the budget
+	beatAt  Time
+	wakeFor Time
+	tellAt  Time
+	tellPos int
+	heardAt Time // last message of any peer
+	meterAt Time // last metered figure
+	watchAt Time // when to ask for the roster; 0: never
+	watches bool
 
 	// The limit.
 	intervalAt        Time
