--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,7 @@
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
 	openQuiet  = 2.5    // times the least allowance while latency is quiet
 	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
+	lowShare   = 0.125  // of the contract time: a latency that is low enough whatever was seen
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
@@ -50,7 +51,7 @@
 	paceCap     = 2.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
-	silentAfter = 6.0          // usual latencies that all out at a server waited, with no answer
+	silentAfter = 10.0          // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.25         // of the cold budget that is used at once, and as much again over a span
 
 	extraEach = 0.2  // further executions earned by a first one
@@ -210,7 +211,7 @@
 	if r.Outcome == OK || !lone && r.Outcome != Moot && r.Outcome != Withdrawn {
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
-			part = max(part, 1) // work that brought no answer tells of pressure whatever its time
+			part = 1 // no answer: as much as a whole contract time, whatever time it took
 		}
 		n.ended++
 		n.latency += part
@@ -516,7 +517,7 @@
 	if n.quiet {
 		least *= openQuiet
 	}
-	return max(least, openOver*n.canFinish(Time(n.scale)))
+	return max(least, openOver*n.canFinish(Time(max(n.scale, lowShare*float64(n.contract)))))
 }
 
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's
@@ -837,7 +838,7 @@
 	admitted := float64(n.admitted) / span
 	if len(n.lows) > 0 {
 		n.scale = slices.Min(n.lows) // T
-		least := min(slices.Min(n.lowsN), 1/(1+latSpan))
+		least := min(max(slices.Min(n.lowsN), lowShare), 1/(1+latSpan))
 		best := slices.Max(n.rates)
 		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1], (lat/least - 1) / latSpan, n.state[3]}
 		x[1] += fade * (x[0] - x[1])
