--- a/rules/rules.go
+++ b/rules/rules.go
@@ -51,7 +51,7 @@
 	paceCap     = 2.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
-	silentAfter = 10.0          // usual latencies that all out at a server waited, with no answer
+	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.25         // of the cold budget that is used at once, and as much again over a span
 
 	extraEach = 0.2  // further executions earned by a first one
