--- a/rules/rules.go
+++ b/rules/rules.go
@@ -45,6 +45,7 @@
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
+	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
@@ -385,7 +386,12 @@
 	if n.now >= n.tellAt {
 		n.tellAt = n.now + tellEvery
 		if n.set.Is("peers") && n.nodes > 1 {
-			return Decision{Verb: Tell, Text: n.tell()}, true
+			text, more := n.tell()
+			if more { // as soon as peers can take it, so that a large fleet's customers are named in time
+				n.tellAt = n.now + min(tellEvery, Time(float64(interval)*float64(n.nodes-1)/
+					(tellShare*max(1, n.set.Num("peers.take")))))
+			}
+			return Decision{Verb: Tell, Text: text}, true
 		}
 	}
 	if n.watchAt > 0 && n.now >= n.watchAt && !n.watches {
@@ -898,8 +904,8 @@
 
 // tell writes the message to peers: customers with new use whose rate here is past half their even
 // slice. It goes out even when empty, so that silence means something.
-func (n *Node) tell() []byte {
-	out := append(n.text[:0], tellMark)
+func (n *Node) tell() (out []byte, more bool) {
+	out = append(n.text[:0], tellMark)
 	for range len(n.customers) {
 		n.tellPos = (n.tellPos + 1) % len(n.customers)
 		c := &n.customers[n.tellPos]
@@ -919,12 +925,13 @@
 			if n.tellPos < 0 {
 				n.tellPos = len(n.customers) - 1
 			}
+			more = true
 			break
 		}
 		c.newUse = false
 	}
 	n.text = out
-	return out
+	return out, more
 }
 
 // usualOf is a band's usual completed latency, before any a quarter of the contract time.
