--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -57,3 +57,112 @@
 		t.Fatalf("the runs show nothing: sent %d, completed %d, given up %d", sent, complete, bounced)
 	}
 }
+
+// plain is a node of one replayable band and one plan, with some servers, and what a test adds.
+func plain(servers int, more Settings) *Node {
+	set := Settings{"nodes": "3", "tick": "10", "band.count": "1", "band.0.contract": "6000",
+		"band.0.repeats": "replayable", "plan.count": "1", "plan.0.rate": "1000", "plan.0.depth": "1000",
+		"executions": "3", "withdraw": "true"}
+	for k, v := range more {
+		set[k] = v
+	}
+	n := New(7, set, Second)
+	list := []Listing{}
+	for i := range servers {
+		list = append(list, Listing{Server: uint32(i), State: Ready, Weight: 1})
+	}
+	n.Roster(Cached, list)
+	return n
+}
+
+// pull gathers the decisions of one verb.
+func pull(n *Node, v Verb) (out []Decision) {
+	for d, ok := n.Next(); ok; d, ok = n.Next() {
+		if d.Verb == v {
+			d.Text = append([]byte(nil), d.Text...)
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// A restarted node sees the shortest answers first; by them every later latency is a jam.
+func TestFirstShortAnswersDoNotSetT(t *testing.T) {
+	n := plain(10, nil)
+	for id := range uint32(4) {
+		n.Take(Arrival{ID: id, Left: Second, Units: 1, Spread: 1})
+	}
+	for _, d := range pull(n, Send)[:2] {
+		n.Clock(Second + 100)
+		n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Outcome: OK, Took: 100, Settled: true})
+	}
+	n.Clock(2*Second + 10)
+	pull(n, Note)
+	if n.scale != 0 || n.lambda != 0 {
+		t.Fatalf("T is %.0f after two ends", n.scale)
+	}
+}
+
+// Where copies are barred a ticket that hangs on a silent server is called back, and sent elsewhere only
+// once that execution has ended.
+func TestHungExecutionIsCalledBackThenSentElsewhere(t *testing.T) {
+	n := plain(4, nil)
+	n.extra = 5
+	n.bands[0].took = faded{sum: 30000, n: 100, at: Second}
+	n.Take(Arrival{ID: 1, Left: 2 * Second, Units: 1, Spread: 1})
+	first := pull(n, Send)
+	n.Clock(Second + 4000)
+	if d := pull(n, Withdraw); len(d) != 1 || d[0].Ticket != 1 {
+		t.Fatalf("not called back: %v", d)
+	}
+	n.Clock(Second + 4010)
+	n.Ended(Result{Ticket: 1, Server: first[0].Server, Outcome: Withdrawn, Took: 4010})
+	again := pull(n, Send)
+	if len(again) != 1 || again[0].Server == first[0].Server {
+		t.Fatalf("sent again to %v after %v", again, first)
+	}
+	if !n.suspect(&n.servers[first[0].Server]) {
+		t.Fatal("the silent server is in good standing")
+	}
+}
+
+// A large fleet's customers do not fit into one message: the next follows soon and names the others.
+func TestFullMessageIsFollowedByAnother(t *testing.T) {
+	n := plain(4, Settings{"peers": "true", "peers.take": "100", "plan.0.rate": "1"})
+	for id := range uint32(100) {
+		n.Take(Arrival{ID: id, Customer: 1<<32 + uint64(id), Left: Second, Units: 3, Spread: 3})
+	}
+	pull(n, Send)
+	peer := plain(4, Settings{"peers": "true", "node": "1"})
+	for now := Second; now < 2*Second; now += 100 {
+		n.Clock(now)
+		peer.Clock(now)
+		for _, d := range pull(n, Tell) {
+			peer.Heard(0, d.Text)
+		}
+		if now == Second { // the peer must know the customers to remember their rates
+			for id := range uint32(100) {
+				peer.Take(Arrival{ID: id, Customer: 1<<32 + uint64(id), Left: Second, Units: 1, Spread: 3})
+			}
+		}
+	}
+	for i := range peer.customers {
+		if peer.customers[i].peers[0].at == 0 {
+			t.Fatalf("customer %d was never named", i)
+		}
+	}
+	peer.Heard(0, []byte{tellMark, 0x80})
+	peer.Heard(9, []byte{tellMark})
+	peer.Heard(0, []byte("other"))
+}
+
+// The meter tells use, not demand: a node that was let in little must not shrink for it.
+func TestMeteredPartKeepsBeliefInTheSlice(t *testing.T) {
+	n := plain(4, Settings{"meter": "10000", "plan.0.rate": "10", "plan.0.depth": "30"})
+	n.Take(Arrival{ID: 1, Left: Second, Units: 1, Spread: 2})
+	d := pull(n, Send)
+	n.Ended(Result{Ticket: 1, Server: d[0].Server, Outcome: OK, Took: 300, Settled: true, Use: 101})
+	if part := n.part(&n.customers[0]); part < 0.35 || part > 0.5 {
+		t.Fatalf("part %.2f of a customer that others serve at its quota", part)
+	}
+}
