--- a/rules/rules.go
+++ b/rules/rules.go
@@ -481,23 +481,23 @@
 func (n *Node) admit(t *ticket) (bool, Time) {
 	if n.lambda == 0 { // fresh: a few executions a ready server
 		if n.pressing() >= n.few(fresh) {
-			return false, interval
+			return false, 0
 		}
 	} else {
 		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
 		n.tokensAt = n.now
 		if n.tokens < 1 {
-			return false, interval
+			return false, 0
 		}
 	}
 	if n.lambda > 0 && n.pressing() >= n.openCap() {
-		return false, interval
+		return false, 0
 	}
 	c := &n.customers[t.customer]
 	if ok, advice := n.inQuota(c, t); !ok {
 		return false, advice
 	}
-	return n.ceilingRoom(c, t), interval
+	return n.ceilingRoom(c, t), 0
 }
 
 // few is this node's even share of so many executions a ready server.
