--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,7 +36,7 @@
 	enough     = 30     // ends that a latency must rest on to count for T
 	recent     = 30     // intervals that T looks back on
 	bestOver   = 8      // intervals that the best completed rate looks back on
-	burstOf    = 0.4    // share of an interval's λ that may be used at once
+	burstOf    = 0.15   // share of an interval's λ that may be used at once
 
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
@@ -74,7 +74,7 @@
 		{1, 0, 0, 0, -quietUnder},
 		{0, 1, 0, 0, -quietUnder},
 	},
-	out: [5]float64{-0.4, -0.4, -0.4, -0.4, 1.3},
+	out: [5]float64{-0.4, -0.4, -0.4, -0.4, 1.2},
 }
 
 // New makes a node that knows its settings only.
