Spares only for executions at servers under suspicion

Cause: spares for all that is late load a busy back end and count against caps on open executions. Could harm where a few servers are slow but answer: their executions wait.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -777,9 +777,10 @@
 	s.coldAt = n.now
 }
 
-// beat looks over what is open: how long each server has owed its answers, and which executions are
-// late. A late one gets a spare where copies are allowed and the back end is
-// quiet; where they are barred it is called back from a silent server and sent again once it has ended.
+// beat looks over what is open: how long each server has owed its answers, and which executions are late
+// at a server under suspicion. Where copies are allowed such a one gets a spare, else it is called back
+// and sent again once it has ended. This guards against what hangs, and covers links that lose some
+// answers. Spares for all that is late were tried: under load they cost more than they save.
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
 	for i := range n.servers {
@@ -802,18 +803,14 @@
 		due := max(Time(spareAt*float64(b.contract)), Time(spareOver*n.usualOf(b)))
 		for k := range t.runs {
 			x := &t.runs[k]
-			if !x.out {
+			if !x.out || t.closed || t.bound || t.out > 1 || n.now-x.sent < due || n.now >= t.came+b.contract ||
+				!n.suspect(&n.servers[x.server]) || !n.further(t) {
 				continue
 			}
-			s := &n.servers[x.server]
-			if t.closed || t.bound || t.out > 1 || n.now-x.sent < due || b.repeats == singleUse ||
-				n.now >= t.came+b.contract || n.extra < 1 {
-				continue
-			}
-			if n.set.Is("copies") && n.quiet {
+			if n.set.Is("copies") {
 				t.spare = true
 				n.push(int32(i))
-			} else if !n.set.Is("copies") && n.suspect(s) && n.further(t) {
+			} else {
 				n.recall(t, k)
 			}
 		}
