Soft cap a server at one and a half fair shares, one at least

Cause: servers were let run to twice the fair share plus one, so short queues stood beside idle cores. Covers any uneven queue at servers that this node fills itself; could harm only by turning the rotation early, never by bouncing: the cap is soft.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,7 +49,7 @@
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
-	paceCap     = 2.0          // open executions over the fair share
+	paceCap     = 1.5          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
 	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
@@ -664,7 +664,7 @@
 				continue
 			}
 			if fair := float64(open+1) * s.weight / total; level == 0 &&
-				(float64(s.open) >= 1+paceCap*fair || tried(t, int32(i))) {
+				(float64(s.open) >= max(1, paceCap*fair) || tried(t, int32(i))) {
 				continue
 			}
 			// A fresh server is passed over by chance, less as it warms.
