--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,7 +49,7 @@
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
-	paceCap     = 1.5          // open executions over the fair share
+	paceCap     = 1.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
 	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
