--- a/rules/rules.go
+++ b/rules/rules.go
@@ -208,8 +208,16 @@
 	}
 	s := &n.servers[x.server]
 	lone := n.now < s.until // its ends tell of that server, not of pressure
-	n.judge(s, b, r.Outcome, r.Took)
-	if r.Outcome == OK || !lone && r.Outcome != Moot && r.Outcome != Withdrawn {
+	// A time-out that left the execution little time, as an impatient client's, says next to nothing: it
+	// is neither pressure nor a miss. Covers any short outer limit; could hide a server that hangs while
+	// all clients are impatient, which its silence then tells.
+	hasty := r.Outcome == TimedOut && r.Took < b.contract/2
+	if hasty {
+		n.judge(s, b, Moot, r.Took)
+	} else {
+		n.judge(s, b, r.Outcome, r.Took)
+	}
+	if r.Outcome == OK || !lone && !hasty && r.Outcome != Moot && r.Outcome != Withdrawn {
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
