--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,6 +30,7 @@
 	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
 	lowShare   = 0.125  // of the contract time: a latency that is low enough whatever was seen
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
+	hopeless   = 1.5    // usual latencies that a ticket must have left
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	fade       = 0.3    // of the features' moving averages, an interval
@@ -487,6 +488,11 @@
 
 // admit is the ordinary path: λ first, then the customer's bucket, then a ceiling.
 func (n *Node) admit(t *ticket) (bool, Time) {
+	// A ticket whose client leaves before an execution usually ends would only make waste and be asked for
+	// again. Guards against crowds of impatient repeats; could harm a client that is often served quicker.
+	if left := float64(t.until - n.now); left < hopeless*n.usualOf(&n.bands[t.band]) {
+		return false, 0
+	}
 	if n.lambda == 0 { // fresh: a few executions a ready server
 		if n.pressing() >= n.few(fresh) {
 			return false, 0
