--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,6 +42,7 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
+	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
@@ -63,8 +64,8 @@
 )
 
 // policy is the two-layer map: hidden units over {in-flight, its average, latency, its average}, bias
-// last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as low as seen lately) to 1
-// (latSpan times that on top). Hand-set until fitted: flat while quiet, falling as either rises.
+// last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as
+// low as seen lately) to 1 (latSpan times that on top). Hand-set until fitted: flat while quiet, falling as either rises.
 var policy = struct {
 	hidden [4][5]float64
 	out    [5]float64
@@ -170,7 +171,8 @@
 			n.customers = append(n.customers, customer{})
 		}
 		n.customers[t.customer] = customer{key: a.Customer, live: true, plan: t.plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, level: n.plans[t.plan].depth, peers: make([]heardRate, n.nodes)}
+			ceilingAt: n.now, level: max(n.plans[t.plan].depth, float64(n.plans[t.plan].open)),
+			peers: make([]heardRate, n.nodes)}
 	}
 	c := &n.customers[t.customer]
 	c.spread, c.first, c.last, c.newUse = min(max(a.Spread, 1), n.nodes), a.First, n.now, true
@@ -569,13 +571,19 @@
 	if p.open > 0 && c.out >= max(1, int(math.Round(t.share*float64(p.open)))) {
 		return false, Time(n.usualOf(&n.bands[t.band]))
 	}
-	if p.rate <= 0 {
+	rate, depth := p.rate, p.depth
+	// A cap alone lets every node keep one out for the customer; where it comes in by more nodes than the
+	// cap, a bucket by Little's law holds their sum.
+	if rate <= 0 && p.open > 0 {
+		rate, depth = openRate*float64(p.open)/n.usualOf(&n.bands[t.band])*float64(Second), float64(p.open)
+	}
+	if rate <= 0 {
 		return true, 0
 	}
-	c.level = min(c.level+p.rate*secs(n.now-c.filled), p.depth)
+	c.level = min(c.level+rate*secs(n.now-c.filled), depth)
 	c.filled = n.now
-	if short := min(t.guess, p.depth) - c.level; short > 0 {
-		return false, Time(short / p.rate * float64(Second))
+	if short := min(t.guess, depth) - c.level; short > 0 {
+		return false, Time(short / rate * float64(Second))
 	}
 	return true, 0
 }
@@ -857,7 +865,8 @@
 		n.scale = slices.Min(n.lows) // T
 		least := min(max(slices.Min(n.lowsN), lowShare), 1/(1+latSpan))
 		best := slices.Max(n.rates)
-		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1], (lat/least - 1) / latSpan, n.state[3]}
+		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1],
+			(lat/least - 1) / latSpan, n.state[3]}
 		x[1] += fade * (x[0] - x[1])
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
