--- a/rules/rules.go
+++ b/rules/rules.go
@@ -65,7 +65,8 @@
 
 // policy is the two-layer map: hidden units over {in-flight, its average, latency, its average}, bias
 // last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as
-// low as seen lately) to 1 (latSpan times that on top). Hand-set until fitted: flat while quiet, falling as either rises.
+// low as seen lately) to 1 (latSpan times that on top). Hand-set until fitted: flat
+// while quiet, falling as either rises.
 var policy = struct {
 	hidden [4][5]float64
 	out    [5]float64
@@ -82,34 +83,15 @@
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
 	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
-		beatAt: now, tokensAt: now, quiet: true, heardAt: now - silence, meterAt: now - silence,
+		beatAt: now, tokensAt: now, quiet: true, heardAt: now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
-	for i := range int(set.Num("band.count")) {
-		b := band{contract: set.Span(set.At("band", i, "contract")), window: set.Span(set.At("band", i, "window")),
-			group: set[set.At("band", i, "group")]}
-		switch set[set.At("band", i, "repeats")] {
-		case "referenced":
-			b.repeats = referenced
-		case "replayable":
-			b.repeats = replayable
-		default:
-			b.repeats = singleUse
-		}
-		if i == 0 || b.contract < n.contract {
-			n.contract = b.contract
-		}
-		n.bands = append(n.bands, b)
-	}
-	for i := range int(set.Num("plan.count")) {
-		f := func(name string) float64 { return set.Num(set.At("plan", i, name)) }
-		n.plans = append(n.plans, plan{rate: f("rate"), depth: f("depth"), open: int(f("open")),
-			ceilingRate: f("ceiling.rate"), ceilingDepth: f("ceiling.depth")})
-	}
-	if n.contract <= 0 {
-		n.contract = Second
+	n.bands, n.plans = readBands(set), readPlans(set)
+	n.contract = n.bands[0].contract
+	for _, b := range n.bands {
+		n.contract = min(n.contract, b.contract)
 	}
 	if set["roster"] == "ask" {
 		n.watchAt = now
@@ -125,7 +107,9 @@
 // Roster takes in a message of the server roster.
 func (n *Node) Roster(kind RosterKind, list []Listing) {
 	if kind == Missed {
-		n.watches, n.watchAt = false, n.now+interval
+		if n.watches { // ask again after an interval
+			n.watches, n.watchAt = false, n.now+interval
+		}
 		return
 	}
 	if kind != Change {
@@ -175,7 +159,7 @@
 			peers: make([]heardRate, n.nodes)}
 	}
 	c := &n.customers[t.customer]
-	c.spread, c.first, c.last, c.newUse = min(max(a.Spread, 1), n.nodes), a.First, n.now, true
+	c.spread, c.last, c.newUse = min(max(a.Spread, 1), n.nodes), n.now, true
 	c.asked.add(a.Units, n.now, demandFade)
 	n.push(i)
 }
@@ -238,9 +222,8 @@
 			c.level -= (r.Units - t.guess) / t.share
 		}
 	}
-	if p := n.plans[c.plan]; r.Use > 0 {
-		n.meterAt, c.meterAt = n.now, n.now
-		c.metered = float64(r.Use-1) / 100 * n.quotaRate(p)
+	if r.Use > 0 {
+		c.meterAt, c.metered = n.now, float64(r.Use-1)/100*n.quotaRate(n.plans[c.plan])
 	}
 	if r.Settled {
 		n.shut(i)
@@ -267,9 +250,8 @@
 	case OK:
 		s.misses, s.shut, s.until, s.heard, s.waited = 0, 0, 0, n.now, 0
 		s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
-	case Full: // it answers, but has no room: leave it for about one execution
+	case Full:
 		s.heard = n.now
-		s.until = n.now + Time(n.usualOf(b))
 	case Failed, TimedOut, Unreached, Reset:
 		if o == Failed {
 			s.heard = n.now
@@ -722,8 +704,7 @@
 	return true
 }
 
-// weigh follows what a server was seen to manage: its listed size over its pace, squared when it falls
-// behind, since a slow server's answers come too late even at equal load.
+// weigh follows what a server was seen to manage: its listed size over its pace.
 func (n *Node) weigh(s *appServer, mean float64) float64 {
 	w := s.Weight
 	if w <= 0 {
@@ -731,9 +712,6 @@
 	}
 	s.pace.fadeTo(n.now, paceFade)
 	p := (s.pace.sum + pacePrior*mean) / (s.pace.n + pacePrior) / mean
-	if p > 1 {
-		p *= p
-	}
 	return w / p
 }
 
@@ -961,38 +939,3 @@
 	}
 	return b.took.sum / b.took.n
 }
-
-func (f *faded) fadeTo(now, memory Time) {
-	if now > f.at {
-		k := math.Exp(-float64(now-f.at) / float64(memory))
-		f.sum, f.n, f.at = f.sum*k, f.n*k, now
-	}
-}
-
-func (f *faded) add(v float64, now, memory Time) {
-	f.fadeTo(now, memory)
-	f.sum, f.n = f.sum+v, f.n+1
-}
-
-// rate is the faded sum a second.
-func (f *faded) rate(now, memory Time) float64 {
-	f.fadeTo(now, memory)
-	return f.sum / secs(memory)
-}
-
-// keep appends v to the last k.
-func keep(list []float64, v float64, k int) []float64 {
-	if len(list) >= k {
-		list = append(list[:0], list[1:]...)
-	}
-	return append(list, v)
-}
-
-func secs(t Time) float64 { return float64(t) / float64(Second) }
-
-// unit is a number from 0 up to 1.
-func (m *mwc) unit() float64 {
-	v := uint64(4294957665)*uint64(m.x) + uint64(m.c)
-	m.x, m.c = uint32(v), uint32(v>>32)
-	return float64(m.x) / (1 << 32)
-}
--- a/rules/types.go
+++ b/rules/types.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"math"
 	"strconv"
 	"strings"
 )
@@ -201,6 +202,32 @@
 	ceilingRate, ceilingDepth float64
 }
 
+// readBands reads the bands; one whose repeats are not known is never run twice.
+func readBands(set Settings) (out []band) {
+	for i := range max(1, int(set.Num("band.count"))) {
+		b := band{contract: set.Span(set.At("band", i, "contract")), window: set.Span(set.At("band", i, "window")),
+			group: set[set.At("band", i, "group")], repeats: singleUse}
+		switch set[set.At("band", i, "repeats")] {
+		case "referenced":
+			b.repeats = referenced
+		case "replayable":
+			b.repeats = replayable
+		}
+		b.contract = max(b.contract, 1)
+		out = append(out, b)
+	}
+	return out
+}
+
+func readPlans(set Settings) (out []plan) {
+	for i := range max(1, int(set.Num("plan.count"))) {
+		f := func(name string) float64 { return set.Num(set.At("plan", i, name)) }
+		out = append(out, plan{rate: f("rate"), depth: f("depth"), open: int(f("open")),
+			ceilingRate: f("ceiling.rate"), ceilingDepth: f("ceiling.depth")})
+	}
+	return out
+}
+
 // execution lives from its send until its end.
 type execution struct {
 	server int32
@@ -253,7 +280,6 @@
 	live      bool
 	plan      int
 	spread    int
-	first     int
 	seen      Time // first sight
 	last      Time // last ticket
 	level     float64
@@ -312,7 +338,6 @@
 	tellAt  Time
 	tellPos int
 	heardAt Time // last message of any peer
-	meterAt Time // last metered figure
 	watchAt Time // when to ask for the roster; 0: never
 	watches bool
 
@@ -342,3 +367,38 @@
 
 // mwc is a multiply-with-carry generator.
 type mwc struct{ x, c uint32 }
+
+func (f *faded) fadeTo(now, memory Time) {
+	if now > f.at {
+		k := math.Exp(-float64(now-f.at) / float64(memory))
+		f.sum, f.n, f.at = f.sum*k, f.n*k, now
+	}
+}
+
+func (f *faded) add(v float64, now, memory Time) {
+	f.fadeTo(now, memory)
+	f.sum, f.n = f.sum+v, f.n+1
+}
+
+// rate is the faded sum a second.
+func (f *faded) rate(now, memory Time) float64 {
+	f.fadeTo(now, memory)
+	return f.sum / secs(memory)
+}
+
+// keep appends v to the last k.
+func keep(list []float64, v float64, k int) []float64 {
+	if len(list) >= k {
+		list = append(list[:0], list[1:]...)
+	}
+	return append(list, v)
+}
+
+func secs(t Time) float64 { return float64(t) / float64(Second) }
+
+// unit is a number from 0 up to 1.
+func (m *mwc) unit() float64 {
+	v := uint64(4294957665)*uint64(m.x) + uint64(m.c)
+	m.x, m.c = uint32(v), uint32(v>>32)
+	return float64(m.x) / (1 << 32)
+}
