A silent server rests and is tried again; lost answers count neither as in-flight nor as pressure

Kept: one rule for silence in place of two, and a server no longer waits for all its hung executions to time out.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -204,7 +204,8 @@
 	} else {
 		n.judge(s, b, r.Outcome, r.Took)
 	}
-	if r.Outcome == OK || !lone && !hasty && r.Outcome != Moot && r.Outcome != Withdrawn {
+	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
+	if r.Outcome == OK || !lone && !hasty && !lost && r.Outcome != Moot && r.Outcome != Withdrawn {
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
@@ -240,12 +241,10 @@
 // that hang; it covers a lost zone too. It could harm where errors come from the tickets themselves:
 // then servers rest for a contract time by turns, and pick falls back on all when none is left.
 func (n *Node) judge(s *appServer, b *band, o Outcome, took Time) {
-	trial, mute := s.trying, n.silent(s)
+	trial := s.trying
 	s.open--
+	s.lost = min(s.lost, s.open)
 	s.trying = false
-	if o == Withdrawn && mute { // called back for its silence
-		o, trial = TimedOut, true
-	}
 	switch o {
 	case OK:
 		s.misses, s.shut, s.until, s.heard, s.waited = 0, 0, 0, n.now, 0
@@ -257,8 +256,7 @@
 			s.heard = n.now
 		}
 		if s.misses++; o == Unreached || o == Reset || trial || s.misses >= missesMost {
-			s.shut = min(max(2*s.shut, n.contract), shutMost*n.contract)
-			s.until = n.now + s.shut
+			n.rest(s)
 		}
 		if o != Failed {
 			s.pace.add(max(1, float64(took)/n.usualOf(b)), n.now, paceFade)
@@ -270,6 +268,12 @@
 	}
 }
 
+// rest takes a server out of the rotation, each time for twice as long.
+func (n *Node) rest(s *appServer) {
+	s.shut = min(max(2*s.shut, n.contract), shutMost*n.contract)
+	s.until = n.now + s.shut
+}
+
 // Probed notes the answer of a probe.
 func (n *Node) Probed(id uint32, o Outcome, load []float64) {
 	if i := n.serverOf.find(id); i >= 0 && o == OK {
@@ -525,12 +529,14 @@
 }
 
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's
-// queue. What hangs on a suspected server waits for nothing that the others do.
+// queue. What hangs on a suspected server waits for nothing that the others do, nor does an execution that
+// waited so long that its answer must be lost, as where a link swallows some. In a true jam the usual
+// latency rises too, and they count.
 func (n *Node) pressing() float64 {
 	sound := 0
 	for i := range n.servers {
 		if s := &n.servers[i]; !n.suspect(s) {
-			sound += s.open
+			sound += s.open - s.lost
 		}
 	}
 	return float64(sound)
@@ -731,15 +737,9 @@
 
 // suspect tells whether a server is out of the rotation; past its rest it gets one trial at a time.
 func (n *Node) suspect(s *appServer) bool {
-	return n.now < s.until || s.trying || n.silent(s)
+	return n.now < s.until || s.trying
 }
 
-// silent guards against servers that stand still or hang without an error, and against cut links: what
-// is out there has together waited for so many usual latencies, with nothing at all coming back, that
-// chance hardly explains it. One long execution alone is given much more time than several at once. It
-// could harm where works differ far more than usual; the others then take the server's turn meanwhile.
-func (n *Node) silent(s *appServer) bool { return s.open > 0 && s.waited > silentAfter }
-
 // coldShare is the least share of its capacity that a fresh server has by now.
 func (n *Node) coldShare(s *appServer) float64 {
 	span, from := n.set.Span("cold.span"), n.set.Num("cold.from")
@@ -777,23 +777,36 @@
 	s.coldAt = n.now
 }
 
-// beat looks over what is open: how long each server has owed its answers, and which executions are late
-// at a server under suspicion. Where copies are allowed such a one gets a spare, else it is called back
-// and sent again once it has ended. This guards against what hangs, and covers links that lose some
-// answers. Spares for all that is late were tried: under load they cost more than they save.
+// beat looks over what is open. A server is silent when all that is out there has together waited for so
+// many usual latencies, with nothing coming back, that chance hardly explains it; it rests, then gets a
+// trial. This guards against servers that stand still or hang without an error and against cut links.
+// One long execution alone is given much more time than several. It could harm where works differ far
+// more than usual; the others then take the server's turn meanwhile. Executions late at a server under
+// suspicion get a spare where copies are allowed, else are called back and sent again once ended. Spares for all that is late were tried: under load they cost more than they save.
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
 	for i := range n.servers {
-		n.servers[i].waited = 0
+		n.servers[i].waited, n.servers[i].lost = 0, 0
 	}
 	for i := range n.tickets {
 		t := &n.tickets[i]
 		for _, x := range t.runs {
 			if s := &n.servers[x.server]; t.live && x.out {
-				s.waited += float64(n.now-max(x.sent, s.heard)) / n.usualOf(&n.bands[t.band])
+				usual := n.usualOf(&n.bands[t.band])
+				s.waited += float64(n.now-max(x.sent, s.heard, s.owed)) / usual
+				if float64(n.now-x.sent) > silentAfter*usual {
+					s.lost++
+				}
 			}
 		}
 	}
+	for i := range n.servers {
+		if s := &n.servers[i]; s.waited > silentAfter && n.now >= s.until {
+			s.misses++
+			s.owed, s.trying = n.now, false
+			n.rest(s)
+		}
+	}
 	for i := range n.tickets {
 		t := &n.tickets[i]
 		if !t.live || t.out == 0 {
--- a/rules/types.go
+++ b/rules/types.go
@@ -269,6 +269,8 @@
 	shut    Time    // how long the last suspicion lasted
 	trying  bool    // one trial execution is out after a suspicion
 	heard   Time    // last answer of any kind
+	owed    Time    // what was owed before has been counted
+	lost    int     // out for so long that no answer is expected, as of the last beat
 	waited  float64 // usual latencies that what is out has waited for since the last answer
 	coldAt  Time    // when sentNow was last brought up to date
 	sentNow float64 // executions counted against the cold budget
