--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,10 +8,10 @@
 // demand (part, inQuota). Past either a ticket is bounced at once. Beside the design stand six:
 //  1. weighted rotation with warm-up (pick, weigh)
 //  2. the cold budget (coldRoom)
-//  3. suspicion of failing or silent servers (judge, silent)
+//  3. suspicion of failing or silent servers (judge, rest, beat)
 //  4. budgeted further executions and time-outs (further, decide)
-//  5. caps and ceilings (caps in pick, ceilingRoom)
-//  6. one spare for a late execution (beat)
+//  5. caps and ceilings (openCap, the soft caps of pick, ceilingRoom)
+//  6. one spare for an execution late at a suspected server (beat)
 package rules
 
 import (
