Cold budget: two fifths at once, and a leak at the budget's own rate

Cause: the leak was one execution a span at least for each node, too much where many nodes share a cold server and, at a quarter, too little later. Should also cover fleets of many nodes; could harm where warm servers carry far more than their share.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -55,7 +55,7 @@
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
 	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
-	coldMargin  = 0.25         // of the cold budget that is used at once, and as much again over a span
+	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
 
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
@@ -772,7 +772,7 @@
 
 func (n *Node) coldLeak(s *appServer) {
 	if span := n.set.Span("fall.span"); span > 0 && s.coldAt > 0 {
-		s.sentNow = max(0, s.sentNow-max(1, n.coldBudget(s))*float64(n.now-s.coldAt)/float64(span))
+		s.sentNow = max(0, s.sentNow-n.coldBudget(s)*float64(n.now-s.coldAt)/float64(span))
 	}
 	s.coldAt = n.now
 }
