All in flight counts when over two thirds of the servers are suspected

Covers any standstill of the whole back end; a node cut from more than two thirds of it sheds harder than it need.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -531,14 +531,22 @@
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's
 // queue. What hangs on a suspected server waits for nothing that the others do, nor does an execution that
 // waited so long that its answer must be lost, as where a link swallows some. In a true jam the usual
-// latency rises too, and they count.
+// latency rises too, and they count. When over two thirds are suspected the back end itself stands still:
+// then all counts, or a node would fill it up with what it can't see.
 func (n *Node) pressing() float64 {
-	sound := 0
+	sound, all, suspects := 0, 0, 0
 	for i := range n.servers {
-		if s := &n.servers[i]; !n.suspect(s) {
+		s := &n.servers[i]
+		all += s.open
+		if n.suspect(s) {
+			suspects++
+		} else {
 			sound += s.open - s.lost
 		}
 	}
+	if 3*suspects > 2*n.ready {
+		return float64(all)
+	}
 	return float64(sound)
 }
 
