--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,6 +33,7 @@
 	hopeless   = 1.5    // usual latencies that a ticket must have left
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
+	leastOpen  = 1.0    // executions a ready server by all nodes that a rests on, however little completes
 	fade       = 0.3    // of the features' moving averages, an interval
 	enough     = 30     // ends that a latency must rest on to count for T
 	recent     = 30     // intervals that T looks back on
@@ -870,7 +871,7 @@
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
 		n.quiet = x[2] < quietUnder
-		a := max(leastA, net(x)) * best * secs(Time(n.scale))
+		a := max(leastA, net(x)) * max(best*secs(Time(n.scale)), n.few(leastOpen))
 		if n.quiet { // as for a fresh node, and not below what was let in
 			a = max(a, n.few(fresh), admitted*secs(Time(n.scale)))
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -166,3 +166,42 @@
 		t.Fatalf("part %.2f of a customer that others serve at its quota", part)
 	}
 }
+
+// When every server stands still, what hangs there must go on to count, or the node fills them up.
+func TestStandstillOfAllServersBoundsWhatIsOut(t *testing.T) {
+	n := plain(6, nil)
+	now, id, out := Second, uint32(0), 0
+	var sent []Decision
+	for ; now < 12*Second; now += 100 {
+		n.Clock(now)
+		for range 2 {
+			id++
+			n.Take(Arrival{ID: id, Left: 8 * Second, Units: 1, Spread: 1})
+		}
+		if now < 4*Second { // every execution takes 20 ms until all stand still
+			for _, d := range sent {
+				n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Outcome: OK, Took: 200, Settled: true})
+			}
+			sent = sent[:0]
+		}
+		sent = append(sent, pull(n, Send)...)
+		out = max(out, len(sent))
+	}
+	if out > 36 { // six a server; without the guard it is hundreds
+		t.Fatalf("%d out at six servers that stand still", out)
+	}
+}
+
+// An impatient client's time-out says nothing of its server, nor of the back end's latency.
+func TestShortTimeOutIsNoMiss(t *testing.T) {
+	n := plain(2, nil)
+	for id := range uint32(4) {
+		n.Take(Arrival{ID: id, Left: 2 * Second, Units: 1, Spread: 1})
+	}
+	for _, d := range pull(n, Send) {
+		n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Outcome: TimedOut, Took: 500})
+	}
+	if n.servers[0].misses+n.servers[1].misses+n.ended != 0 {
+		t.Fatalf("%d misses, %d ends counted", n.servers[0].misses+n.servers[1].misses, n.ended)
+	}
+}
