--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,7 +15,6 @@
 package rules
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math"
 	"slices"
@@ -285,40 +284,20 @@
 // Elapsed notes that a wake came; the time is all it tells.
 func (n *Node) Elapsed() {}
 
-// Heard takes in a peer's message: a mark, then customers with their rate there in hundredths of a
-// unit a second. One that is malformed in any place is passed over whole.
+// Heard takes in a peer's message. One that is malformed in any place is passed over whole.
 func (n *Node) Heard(from int, b []byte) {
-	if from < 0 || from >= n.nodes || from == n.me || len(b) < 1 || b[0] != tellMark {
+	list, ok := readTold(b)
+	if !ok || from < 0 || from >= n.nodes || from == n.me {
 		return
 	}
-	for pass := range 2 {
-		for p := b[1:]; len(p) > 0; {
-			key, k := binary.Uvarint(p)
-			if k <= 0 {
-				return
-			}
-			rate, m := binary.Uvarint(p[k:])
-			if m <= 0 || rate > math.MaxUint32 {
-				return
-			}
-			p = p[k+m:]
-			if i := n.customer.find(key); pass == 1 && i >= 0 {
-				n.customers[i].peers[from] = heardRate{float64(rate) / 100, n.now}
-			}
+	for _, t := range list {
+		if i := n.customer.find(t.key); i >= 0 {
+			n.customers[i].peers[from] = heardRate{t.rate, n.now}
 		}
 	}
 	n.heardAt = n.now
 }
 
-const tellMark = 0xC7
-
-func (n *Node) push(i int32) {
-	if t := &n.tickets[i]; !t.queued {
-		t.queued = true
-		n.todo = append(n.todo, i)
-	}
-}
-
 // shut closes a ticket and calls back what is still out for it.
 func (n *Node) shut(i int32) {
 	t := &n.tickets[i]
@@ -341,15 +320,6 @@
 	}
 }
 
-func (n *Node) free(i int32) {
-	if t := &n.tickets[i]; t.live {
-		t.live = false
-		if !t.queued {
-			n.ticketOf.drop(t.id)
-		}
-	}
-}
-
 // ---- Deciding.
 
 // Next is the next decision, or false when there is none for now.
@@ -937,8 +907,7 @@
 			continue
 		}
 		was := len(out)
-		out = binary.AppendUvarint(out, c.key)
-		out = binary.AppendUvarint(out, uint64(rate*100))
+		out = appendTold(out, told{c.key, rate})
 		if len(out) > maxTell {
 			out = out[:was]
 			n.tellPos--
--- a/rules/types.go
+++ b/rules/types.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"encoding/binary"
 	"math"
 	"strconv"
 	"strings"
@@ -404,3 +405,53 @@
 	m.x, m.c = uint32(v), uint32(v>>32)
 	return float64(m.x) / (1 << 32)
 }
+
+// told is one customer in a message to peers: a mark, then for each its key and its rate in hundredths
+// of a unit a second.
+type told struct {
+	key  uint64
+	rate float64
+}
+
+const tellMark = 0xC7
+
+func appendTold(b []byte, t told) []byte {
+	b = binary.AppendUvarint(b, t.key)
+	return binary.AppendUvarint(b, uint64(t.rate*100))
+}
+
+func readTold(b []byte) (list []told, ok bool) {
+	if len(b) < 1 || b[0] != tellMark {
+		return nil, false
+	}
+	for b = b[1:]; len(b) > 0; {
+		key, k := binary.Uvarint(b)
+		if k <= 0 {
+			return nil, false
+		}
+		rate, m := binary.Uvarint(b[k:])
+		if m <= 0 || rate > math.MaxUint32 {
+			return nil, false
+		}
+		list, b = append(list, told{key, float64(rate) / 100}), b[k+m:]
+	}
+	return list, true
+}
+
+// push queues a ticket for Next.
+func (n *Node) push(i int32) {
+	if t := &n.tickets[i]; !t.queued {
+		t.queued = true
+		n.todo = append(n.todo, i)
+	}
+}
+
+// free gives a ticket's slot back, once it is not queued any more.
+func (n *Node) free(i int32) {
+	if t := &n.tickets[i]; t.live {
+		t.live = false
+		if !t.queued {
+			n.ticketOf.drop(t.id)
+		}
+	}
+}
