--- a/rules/rules.go
+++ b/rules/rules.go
@@ -154,8 +154,8 @@
 		if int(t.customer) == len(n.customers) {
 			n.customers = append(n.customers, customer{})
 		}
-		n.customers[t.customer] = customer{key: a.Customer, live: true, plan: t.plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, level: max(n.plans[t.plan].depth, float64(n.plans[t.plan].open)),
+		n.customers[t.customer] = customer{key: a.Customer, live: true, plan: t.plan, seen: n.now,
+			filled: n.now, ceilingAt: n.now, level: max(n.plans[t.plan].depth, float64(n.plans[t.plan].open)),
 			peers: make([]heardRate, n.nodes)}
 	}
 	c := &n.customers[t.customer]
@@ -761,7 +761,8 @@
 // trial. This guards against servers that stand still or hang without an error and against cut links.
 // One long execution alone is given much more time than several. It could harm where works differ far
 // more than usual; the others then take the server's turn meanwhile. Executions late at a server under
-// suspicion get a spare where copies are allowed, else are called back and sent again once ended. Spares for all that is late were tried: under load they cost more than they save.
+// suspicion get a spare where copies are allowed, else are called back and sent again once ended.
+// Spares for all that is late were tried: under load they cost more than they save.
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
 	for i := range n.servers {
@@ -795,8 +796,8 @@
 		due := max(Time(spareAt*float64(b.contract)), Time(spareOver*n.usualOf(b)))
 		for k := range t.runs {
 			x := &t.runs[k]
-			if !x.out || t.closed || t.bound || t.out > 1 || n.now-x.sent < due || n.now >= t.came+b.contract ||
-				!n.suspect(&n.servers[x.server]) || !n.further(t) {
+			if !x.out || t.closed || t.bound || t.out > 1 || n.now-x.sent < due ||
+				n.now >= t.came+b.contract || !n.suspect(&n.servers[x.server]) || !n.further(t) {
 				continue
 			}
 			if n.set.Is("copies") {
@@ -857,8 +858,8 @@
 		tail = n.tails[k*95/100]
 	}
 	n.text = fmt.Appendf(n.text[:0], "interval inflight=%d avg=%.3f lat=%.3f avg=%.3f lambda=%.1f a=%.2f"+
-		" admitted=%.1f completed=%.1f tail=%.3f scale=%d", n.inWork, n.state[1], n.state[2], n.state[3], n.lambda,
-		n.lastA, admitted, float64(n.completed)/span, tail, int(n.scale))
+		" admitted=%.1f completed=%.1f tail=%.3f scale=%d", n.inWork, n.state[1], n.state[2], n.state[3],
+		n.lambda, n.lastA, admitted, float64(n.completed)/span, tail, int(n.scale))
 	n.noteDue = true
 	n.admitted, n.completed, n.ended, n.latency, n.tails = 0, 0, 0, 0, n.tails[:0]
 	n.began, n.intervalAt = n.now, n.now+interval
