--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,8 @@
 	interval   = Second // of the limit, as the design says
 	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
-	openQuiet  = 2.5    // times the least allowance while latency is quiet
+	openQuiet  = 1.4    // times the least allowance while latency is quiet, and with the root of the nodes
+	openNodes  = 0.6    // so much more: over many nodes the chance swings of each even out
 	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
 	lowShare   = 0.125  // of the contract time: a latency that is low enough whatever was seen
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
@@ -494,7 +495,7 @@
 func (n *Node) openCap() float64 {
 	least := n.few(openLeast)
 	if n.quiet {
-		least *= openQuiet
+		least *= openQuiet + openNodes*math.Sqrt(float64(n.nodes))
 	}
 	return max(least, openOver*n.canFinish(Time(max(n.scale, lowShare*float64(n.contract)))))
 }
