One home node of a customer's set hears of its use and grants parts

Cause: every message went to every node; at 300 nodes that passes the limit on actions and 95% is dropped.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -231,7 +231,11 @@
 	case rules.Probe:
 		r.Open(wire.ActSample, inst).U32(a.Server)
 	case rules.Tell:
-		r.Open(wire.ActWritePeer, inst).U32(everyPeer).Text(a.Text)
+		to := uint32(everyPeer)
+		if a.Peer != rules.Everyone {
+			to = uint32(a.Peer)
+		}
+		r.Open(wire.ActWritePeer, inst).U32(to).Text(a.Text)
 	case rules.Watch:
 		r.Open(wire.ActStream, inst).U8(1)
 	case rules.Note:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -50,6 +50,11 @@
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
+	wordRound  = 2 * tellEvery // until a node's word has come back from a home to all
+	leastGrant = 0.01          // of a customer's tickets
+	grantStep  = 0.75          // a grant that falls, or rises, so far is told at once
+	mostEntry  = 40            // bytes of a customer in a message
+
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
 	paceCap     = 1.0          // open executions over the fair share
@@ -88,6 +93,7 @@
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
+	n.wide = float64(n.nodes-1) > tellShare*set.Num("peers.take")*secs(tellEvery)
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
 	n.bands, n.plans = readBands(set), readPlans(set)
 	n.contract = n.bands[0].contract
@@ -149,22 +155,35 @@
 	t := &n.tickets[i]
 	*t = ticket{id: a.ID, live: true, band: min(a.Band, len(n.bands)-1), plan: min(a.Plan, len(n.plans)-1),
 		came: n.now, until: n.now + a.Left, guess: a.Units, share: 1, runs: t.runs[:0]}
-	t.customer = n.customer.find(a.Customer)
-	if t.customer < 0 {
-		t.customer = n.customer.add(a.Customer)
-		if int(t.customer) == len(n.customers) {
-			n.customers = append(n.customers, customer{})
-		}
-		n.customers[t.customer] = customer{key: a.Customer, live: true, plan: t.plan, seen: n.now,
-			filled: n.now, ceilingAt: n.now, level: max(n.plans[t.plan].depth, float64(n.plans[t.plan].open)),
-			peers: make([]heardRate, n.nodes)}
-	}
+	t.customer = n.known(a.Customer, t.plan, a.Spread, a.First)
 	c := &n.customers[t.customer]
-	c.spread, c.last, c.newUse = min(max(a.Spread, 1), n.nodes), n.now, true
+	c.last, c.newUse = n.now, true
 	c.asked.add(a.Units, n.now, demandFade)
 	n.push(i)
 }
 
+// known is the number of a customer, noted if it is new. A set that can't be is taken for what it can mean.
+func (n *Node) known(key uint64, plan, spread, first int) int32 {
+	i := n.customer.find(key)
+	if i < 0 {
+		i = n.customer.add(key)
+		if int(i) == len(n.customers) {
+			n.customers = append(n.customers, customer{})
+		}
+		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
+			ceilingAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1, sent: 1}
+		if n.set.Is("peers") && !n.wide {
+			n.customers[i].peers = make([]heardRate, n.nodes)
+		}
+	}
+	c := &n.customers[i]
+	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
+	return i
+}
+
+// home is the node of a customer's set that keeps its bucket where not all nodes can hear all.
+func (n *Node) home(c *customer) int { return (c.first + int(c.key%uint64(c.spread))) % n.nodes }
+
 // Started notes that an answer has begun: the client owns the execution now.
 func (n *Node) Started(id uint32) {
 	if i := n.ticketOf.find(id); i >= 0 {
@@ -222,6 +241,7 @@
 		b.took.add(float64(r.Took), n.now, paceFade)
 		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
 			c.level -= (r.Units - t.guess) / t.share
+			n.use(t.customer, 0, r.Units-t.guess)
 		}
 	}
 	if r.Use > 0 {
@@ -285,18 +305,56 @@
 // Elapsed notes that a wake came; the time is all it tells.
 func (n *Node) Elapsed() {}
 
-// Heard takes in a peer's message. One that is malformed in any place is passed over whole.
+// Heard takes in a peer's message. One that is malformed in any place is passed over whole, and so is what
+// comes from outside a customer's set.
 func (n *Node) Heard(from int, b []byte) {
-	list, ok := readTold(b)
-	if !ok || from < 0 || from >= n.nodes || from == n.me {
+	mark, list, ok := readTold(b)
+	if !ok || from < 0 || from >= n.nodes || from == n.me || n.wide == (mark == rateMark) {
 		return
 	}
 	for _, t := range list {
-		if i := n.customer.find(t.key); i >= 0 {
-			n.customers[i].peers[from] = heardRate{t.rate, n.now}
+		if mark == useMark && (t.plan >= len(n.plans) || t.spread < 1 || t.spread > n.nodes || t.first >= n.nodes) {
+			return
 		}
 	}
 	n.heardAt = n.now
+	for _, t := range list {
+		i := n.customer.find(t.key)
+		if mark == useMark && i < 0 && (n.me-t.first+n.nodes)%n.nodes < t.spread {
+			i = n.known(t.key, t.plan, t.spread, t.first)
+		}
+		if i < 0 || (from-n.customers[i].first+n.nodes)%n.nodes >= n.customers[i].spread {
+			continue
+		}
+		switch c := &n.customers[i]; {
+		case mark == rateMark:
+			c.peers[from] = heardRate{t.figure, n.now}
+		case mark == useMark && n.home(c) == n.me:
+			c.last = n.now
+			c.level -= t.passed
+			n.use(i, t.figure, t.passed)
+		case mark == grantMark && n.home(c) == from:
+			c.grant, c.grantAt = min(t.figure, 1), n.now
+		}
+	}
+}
+
+// use notes what is to be told of a customer's use where not all nodes can hear all: to its home, or, at
+// its home, to the others.
+func (n *Node) use(i int32, asked, passed float64) {
+	c := &n.customers[i]
+	if !n.wide || c.spread <= 1 || !n.set.Is("peers") {
+		return
+	}
+	if n.home(c) == n.me {
+		c.wanted.add(asked, n.now, demandFade)
+	} else {
+		c.asked2, c.passed2 = c.asked2+asked, c.passed2+passed
+	}
+	if !c.news {
+		c.news = true
+		n.news = append(n.news, i)
+	}
 }
 
 // shut closes a ticket and calls back what is still out for it.
@@ -354,15 +412,22 @@
 	}
 	if n.now >= n.tellAt {
 		n.tellAt = n.now + tellEvery
-		if n.set.Is("peers") && n.nodes > 1 {
+		if n.wide && n.set.Is("peers") {
+			n.report()
+		} else if n.set.Is("peers") && n.nodes > 1 {
 			text, more := n.tell()
 			if more { // as soon as peers can take it, so that a large fleet's customers are named in time
 				n.tellAt = n.now + min(tellEvery, Time(float64(interval)*float64(n.nodes-1)/
 					(tellShare*max(1, n.set.Num("peers.take")))))
 			}
-			return Decision{Verb: Tell, Text: text}, true
+			return Decision{Verb: Tell, Text: text, Peer: Everyone}, true
 		}
 	}
+	if k := len(n.mail); k > 0 {
+		m := n.mail[k-1]
+		n.mail = n.mail[:k-1]
+		return Decision{Verb: Tell, Text: m.text, Peer: m.to}, true
+	}
 	if n.watchAt > 0 && n.now >= n.watchAt && !n.watches {
 		n.watches = true
 		return Decision{Verb: Watch}, true
@@ -527,6 +592,7 @@
 	c := &n.customers[t.customer]
 	n.tokens--
 	c.level -= t.guess / t.share
+	n.use(t.customer, t.guess/max(leastGrant, c.grant), t.guess)
 	c.passed.add(t.guess, n.now, demandFade)
 	c.ceiling -= t.guess
 }
@@ -536,26 +602,91 @@
 func (n *Node) inQuota(c *customer, t *ticket) (bool, Time) {
 	p := n.plans[c.plan]
 	t.share = n.part(c)
+	if t.share == 1 && c.spread > 1 && n.wide {
+		if grant := n.granted(c); grant < 1 && n.chance.unit() >= grant {
+			return false, Time(n.usualOf(&n.bands[t.band]))
+		}
+	}
 	if p.open > 0 && c.out >= max(1, int(math.Round(t.share*float64(p.open)))) {
 		return false, Time(n.usualOf(&n.bands[t.band]))
 	}
-	rate, depth := p.rate, p.depth
-	// A cap alone lets every node keep one out for the customer; where it comes in by more nodes than the
-	// cap, a bucket by Little's law holds their sum.
-	if rate <= 0 && p.open > 0 {
-		rate, depth = openRate*float64(p.open)/n.usualOf(&n.bands[t.band])*float64(Second), float64(p.open)
-	}
+	rate, depth := n.refill(c)
 	if rate <= 0 {
 		return true, 0
 	}
-	c.level = min(c.level+rate*secs(n.now-c.filled), depth)
-	c.filled = n.now
 	if short := min(t.guess, depth) - c.level; short > 0 {
 		return false, Time(short / rate * float64(Second))
 	}
 	return true, 0
 }
 
+// refill brings a customer's bucket up to date. A cap alone lets every node keep one out for the customer;
+// where it comes in by more nodes than the cap, a bucket by Little's law holds their sum.
+func (n *Node) refill(c *customer) (rate, depth float64) {
+	p := n.plans[c.plan]
+	if rate, depth = p.rate, p.depth; rate <= 0 && p.open > 0 {
+		rate, depth = openRate*n.quotaRate(p), float64(p.open)
+	}
+	c.level = min(c.level+rate*secs(n.now-c.filled), depth)
+	c.filled = n.now
+	return rate, depth
+}
+
+// granted is the part of a customer's tickets that may pass here: 1 unless its home says that the store
+// runs out.
+func (n *Node) granted(c *customer) float64 {
+	if n.home(c) != n.me && (c.grantAt == 0 || n.now-c.grantAt > silence) {
+		c.grant = 1
+	}
+	return c.grant
+}
+
+// report writes the letters where not all nodes can hear all. One node of a customer's set is its home:
+// the others tell it what was asked and passed, at most once each tellEvery, and it keeps the one bucket.
+// While that holds enough for what is asked until word gets round, the home is silent and all take part 1;
+// then it tells the set which part of the tickets may pass. It guards against a quota granted by each of many nodes, none of which
+// sees enough of the customer for a bucket of its own to hold one ticket. It could harm where a home is
+// down: the customer then passes freely until it is back.
+func (n *Node) report() {
+	to := map[int]int{} // position in mail
+	for _, i := range n.news {
+		c := &n.customers[i]
+		c.news = false
+		home := n.home(c)
+		if home != n.me {
+			k, ok := to[home]
+			if !ok || len(n.mail[k].text)+mostEntry > maxTell {
+				k = len(n.mail)
+				to[home] = k
+				n.mail = append(n.mail, letter{home, []byte{useMark}})
+			}
+			n.mail[k].text = appendTold(n.mail[k].text, useMark,
+				told{c.key, c.asked2, c.passed2, c.plan, c.spread, c.first})
+			c.asked2, c.passed2 = 0, 0
+			continue
+		}
+		rate, _ := n.refill(c)
+		want := c.wanted.rate(n.now, demandFade)
+		c.grant = 1
+		if want > 0 {
+			c.grant = min(1, max(leastGrant, (rate+c.level/secs(wordRound))/want))
+		}
+		stale := n.now-c.sentAt > silence/2
+		if was := c.sent; stale && (c.grant < 1) || !stale && (c.grant < was*grantStep || c.grant > was/grantStep && was < 1) {
+			c.sent, c.sentAt = c.grant, n.now
+			text := appendTold([]byte{grantMark}, grantMark, told{key: c.key, figure: c.grant})
+			for k := range c.spread {
+				if peer := (c.first + k) % n.nodes; peer != n.me {
+					n.mail = append(n.mail, letter{peer, text})
+				}
+			}
+		} else if stale {
+			c.sent = 1
+		}
+	}
+	n.news = n.news[:0]
+}
+
 // part is this node's part of a customer's recent demand.
 func (n *Node) part(c *customer) float64 {
 	if c.spread <= 1 {
@@ -570,6 +701,8 @@
 		}
 		own = c.passed.rate(n.now, demandFade)
 		all = max(own, c.metered)
+	} else if n.wide && n.set.Is("peers") {
+		return 1 // see report
 	} else if n.set.Is("peers") {
 		if n.now-n.heardAt > silence || n.now-c.seen < 2*tellEvery {
 			return slice
@@ -897,7 +1030,7 @@
 // tell writes the message to peers: customers with new use whose rate here is past half their even
 // slice. It goes out even when empty, so that silence means something.
 func (n *Node) tell() (out []byte, more bool) {
-	out = append(n.text[:0], tellMark)
+	out = append(n.text[:0], rateMark)
 	for range len(n.customers) {
 		n.tellPos = (n.tellPos + 1) % len(n.customers)
 		c := &n.customers[n.tellPos]
@@ -909,7 +1042,7 @@
 			continue
 		}
 		was := len(out)
-		out = appendTold(out, told{c.key, rate})
+		out = appendTold(out, rateMark, told{key: c.key, figure: rate})
 		if len(out) > maxTell {
 			out = out[:was]
 			n.tellPos--
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -151,8 +151,8 @@
 			t.Fatalf("customer %d was never named", i)
 		}
 	}
-	peer.Heard(0, []byte{tellMark, 0x80})
-	peer.Heard(9, []byte{tellMark})
+	peer.Heard(0, []byte{rateMark, 0x80})
+	peer.Heard(9, []byte{rateMark})
 	peer.Heard(0, []byte("other"))
 }
 
--- a/rules/types.go
+++ b/rules/types.go
@@ -109,8 +109,12 @@
 	Server uint32 // Send, Probe
 	Span   Time   // Send: time-out; Bounce: retry advice; Wake: from now
 	Text   []byte // Tell, Note; good until the next call
+	Peer   int    // Tell: to that node alone, or to all (Everyone)
 }
 
+// Everyone as a Peer is every other node.
+const Everyone = -1
+
 // Settings are the figures handed over at start, by name.
 type Settings map[string]string
 
@@ -282,7 +286,8 @@
 	key       uint64
 	live      bool
 	plan      int
-	spread    int
+	spread    int  // nodes that take it in,
+	first     int  // in a row from this one
 	seen      Time // first sight
 	last      Time // last ticket
 	level     float64
@@ -296,6 +301,22 @@
 	ceiling   float64
 	ceilingAt Time
 	peers     []heardRate
+
+	// Where not all nodes can hear all, see share.
+	wanted  faded   // at its home: units asked at all nodes
+	grant   float64 // the part of its tickets that may pass, as told by its home, or at its home
+	grantAt Time    // when that was told
+	sent    float64 // at its home: the grant last told to the others
+	sentAt  Time
+	news    bool    // waits for the next message
+	asked2  float64 // elsewhere: units asked and passed that its home does not know of
+	passed2 float64
+}
+
+// letter is a message that waits to be sent.
+type letter struct {
+	to   int
+	text []byte
 }
 
 // heardRate is what a peer last told of a customer.
@@ -340,8 +361,11 @@
 	wakeFor Time
 	tellAt  Time
 	tellPos int
-	heardAt Time // last message of any peer
-	watchAt Time // when to ask for the roster; 0: never
+	wide    bool     // more nodes than can all hear each other
+	news    []int32  // customers to tell their home, or from their home, of
+	mail    []letter // messages that wait for Next
+	heardAt Time     // last message of any peer
+	watchAt Time     // when to ask for the roster; 0: never
 	watches bool
 
 	// The limit.
@@ -406,36 +430,67 @@
 	return float64(m.x) / (1 << 32)
 }
 
-// told is one customer in a message to peers: a mark, then for each its key and its rate in hundredths
-// of a unit a second.
+// told is one customer in a message to peers: a mark for what the message is, then for each customer its
+// key and figures in hundredths. A rate has one figure, a grant too; use has asked, passed (which may be
+// below 0), plan, spread and first.
 type told struct {
-	key  uint64
-	rate float64
+	key                 uint64
+	figure              float64
+	passed              float64
+	plan, spread, first int
 }
 
-const tellMark = 0xC7
+const (
+	rateMark  = 0xC7
+	useMark   = 0xC8
+	grantMark = 0xC9
+	mostTold  = math.MaxUint32 // hundredths
+)
 
-func appendTold(b []byte, t told) []byte {
+func appendTold(b []byte, mark byte, t told) []byte {
 	b = binary.AppendUvarint(b, t.key)
-	return binary.AppendUvarint(b, uint64(t.rate*100))
+	b = binary.AppendUvarint(b, uint64(min(max(0, t.figure*100+0.5), mostTold)))
+	if mark == useMark {
+		b = binary.AppendVarint(b, int64(min(max(-mostTold, t.passed*100), mostTold)))
+		b = binary.AppendUvarint(b, uint64(t.plan))
+		b = binary.AppendUvarint(b, uint64(t.spread))
+		b = binary.AppendUvarint(b, uint64(t.first))
+	}
+	return b
 }
 
-func readTold(b []byte) (list []told, ok bool) {
-	if len(b) < 1 || b[0] != tellMark {
-		return nil, false
+// readTold reads a whole message or nothing of it.
+func readTold(b []byte) (mark byte, list []told, ok bool) {
+	if len(b) < 1 || b[0] < rateMark || b[0] > grantMark {
+		return 0, nil, false
 	}
-	for b = b[1:]; len(b) > 0; {
-		key, k := binary.Uvarint(b)
+	mark, b, ok = b[0], b[1:], true
+	number := func() uint64 {
+		v, k := binary.Uvarint(b)
 		if k <= 0 {
-			return nil, false
+			ok = false
+			return 0
 		}
-		rate, m := binary.Uvarint(b[k:])
-		if m <= 0 || rate > math.MaxUint32 {
-			return nil, false
+		b = b[k:]
+		return v
+	}
+	small := func() float64 {
+		v := number()
+		ok = ok && v <= mostTold
+		return float64(v)
+	}
+	for ok && len(b) > 0 {
+		t := told{key: number(), figure: small() / 100}
+		if mark == useMark {
+			v := number() // zigzag, as AppendVarint writes it
+			passed := int64(v>>1) ^ -int64(v&1)
+			ok = ok && passed <= mostTold && passed >= -mostTold
+			t.passed = float64(passed) / 100
+			t.plan, t.spread, t.first = int(small()), int(small()), int(small())
 		}
-		list, b = append(list, told{key, float64(rate) / 100}), b[k+m:]
+		list = append(list, t)
 	}
-	return list, true
+	return mark, list, ok
 }
 
 // push queues a ticket for Next.
