Rotations and cold credit start at a chance place on each node

Cause: nodes that start alike all began at the same app servers: in the first 5 s 24 of 95 used, a third of the sends turned away. The cold share below one execution is now a rate, so that hundreds of first ones do not come together.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -128,11 +128,13 @@
 		i := n.serverOf.find(l.Server)
 		if i < 0 {
 			i = n.serverOf.add(l.Server)
-			n.servers = append(n.servers, appServer{Listing: l})
+			// Nodes that start alike must not all begin at the same servers.
+			n.servers = append(n.servers, appServer{Listing: l, sentNow: n.chance.unit(),
+				turn: (n.chance.unit() - 0.5) * l.Weight * float64(max(len(list), n.ready))})
 		}
 		s := &n.servers[i]
 		if s.Started != l.Started { // a new process: what the old one did says nothing
-			s.pace, s.misses, s.until, s.shut, s.trying, s.sentNow = faded{}, 0, 0, 0, false, 0
+			s.pace, s.misses, s.until, s.shut, s.trying, s.sentNow = faded{}, 0, 0, 0, false, n.chance.unit()
 		}
 		s.Listing, s.known = l, l.State != Gone
 	}
@@ -864,7 +866,9 @@
 
 // coldRoom keeps the cold budget alone: of multiple x present capacity x span this node's share, in
 // executions, measured by what warm servers complete for this node; and few open at once, which
-// bounds the push even when nothing was seen yet.
+// bounds the push even when nothing was seen yet. A share below one execution is a rate: what counts as
+// sent already starts at a chance part of one (sentNow), so that the many nodes that hear of a start
+// together send their first ones spread over the time in which all may.
 func (n *Node) coldRoom(s *appServer) bool {
 	share := n.coldShare(s)
 	if share >= 1 {
@@ -876,9 +880,9 @@
 
 // coldBudget is how many executions a cold server may get from this node in a span.
 func (n *Node) coldBudget(s *appServer) float64 {
-	warm := 0.0
+	warm := 1 / (float64(n.nodes) * secs(n.contract)) // at least, so that an all cold fleet warms
 	if len(n.rates) > 0 && n.ready > 0 {
-		warm = n.rates[len(n.rates)-1] / float64(n.ready)
+		warm = max(warm, n.rates[len(n.rates)-1]/float64(n.ready))
 	}
 	return coldMargin * n.set.Num("fall.multiple") * n.coldShare(s) * warm * secs(n.set.Span("fall.span"))
 }
