--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,7 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
-	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
+	openRate    = 0.45          // of a cap on open executions over the usual latency, the rate that fills it
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
