Even shares with a chance swing; latency carried over few ends; word of use at once

Cause: at five tickets a second a node its share of what may be out is one, its latency a handful of ends.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,17 +23,19 @@
 // Tuned values, as ratios to settings or to what was seen.
 const (
 	interval   = Second // of the limit, as the design says
-	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
+	swing      = 1.0    // roots of an even share on top of it
+	fresh      = 2.3    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
 	openQuiet  = 1.4    // times the least allowance while latency is quiet, and with the root of the nodes
 	openNodes  = 0.6    // so much more: over many nodes the chance swings of each even out
-	openLeast  = 1.5    // executions a ready server by all nodes that are let out in any case
+	openLeast  = 1.1    // executions a ready server by all nodes that are let out in any case
 	lowShare   = 0.125  // of the contract time: a latency that is low enough whatever was seen
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
 	hopeless   = 1.5    // usual latencies that a ticket must have left
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	leastOpen  = 1.0    // executions a ready server by all nodes that a rests on, however little completes
+	enoughLat  = 15     // ends that an interval's latency rests on
 	fade       = 0.3    // of the features' moving averages, an interval
 	enough     = 30     // ends that a latency must rest on to count for T
 	recent     = 30     // intervals that T looks back on
@@ -43,17 +45,17 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
-	openRate    = 0.45          // of a cap on open executions over the usual latency, the rate that fills it
+	openRate    = 0.4          // of a cap on open executions over the usual latency, the rate that fills it
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
-	wordRound  = 2 * tellEvery // until a node's word has come back from a home to all
-	leastGrant = 0.01          // of a customer's tickets
-	grantStep  = 0.75          // a grant that falls, or rises, so far is told at once
-	mostEntry  = 40            // bytes of a customer in a message
+	wordRound  = tellEvery // until a node's word has come back from a home to all
+	leastGrant = 0.01      // of a customer's tickets
+	grantStep  = 0.75      // a grant that falls, or rises, so far is told at once
+	mostEntry  = 40        // bytes of a customer in a message
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
@@ -412,11 +414,12 @@
 		n.noteDue = false
 		return Decision{Verb: Note, Text: n.text}, true
 	}
+	if len(n.news) > 0 {
+		n.report()
+	}
 	if n.now >= n.tellAt {
 		n.tellAt = n.now + tellEvery
-		if n.wide && n.set.Is("peers") {
-			n.report()
-		} else if n.set.Is("peers") && n.nodes > 1 {
+		if n.set.Is("peers") && n.nodes > 1 && !n.wide {
 			text, more := n.tell()
 			if more { // as soon as peers can take it, so that a large fleet's customers are named in time
 				n.tellAt = n.now + min(tellEvery, Time(float64(interval)*float64(n.nodes-1)/
@@ -542,7 +545,11 @@
 }
 
 // few is this node's even share of so many executions a ready server.
-func (n *Node) few(each float64) float64 { return max(1, each*float64(n.ready)/float64(n.nodes)) }
+// A small share is exceeded by chance the more often, so it comes with a swing of its root on top.
+func (n *Node) few(each float64) float64 {
+	share := each * float64(n.ready) / float64(n.nodes)
+	return max(1, share+swing*math.Sqrt(share))
+}
 
 // canFinish is how many executions this node saw completed, of late, in a contract time. What is out
 // over it is the wait that a ticket let in now faces, and shows at once what completed latencies show
@@ -674,7 +681,8 @@
 			c.grant = min(1, max(leastGrant, (rate+c.level/secs(wordRound))/want))
 		}
 		stale := n.now-c.sentAt > silence/2
-		if was := c.sent; stale && (c.grant < 1) || !stale && (c.grant < was*grantStep || c.grant > was/grantStep && was < 1) {
+		if was := c.sent; n.now-c.sentAt < tellEvery/4 {
+		} else if stale && (c.grant < 1) || !stale && (c.grant < was*grantStep || c.grant > was/grantStep && was < 1) {
 			c.sent, c.sentAt = c.grant, n.now
 			text := appendTold([]byte{grantMark}, grantMark, told{key: c.key, figure: c.grant})
 			for k := range c.spread {
@@ -956,7 +964,13 @@
 	span := secs(n.now - n.began)
 	lat := 0.0
 	if n.ended > 0 {
-		lat = n.latency / float64(n.ended)
+		// Few ends say little alone: the last interval's latency stands for those that lack.
+		lack := 0.0
+		if n.lastLat > 0 {
+			lack = float64(max(0, enoughLat-n.ended))
+		}
+		lat = (n.latency + lack*n.lastLat) / (float64(n.ended) + lack)
+		n.lastLat = lat
 	} else if n.inWork > 0 {
 		lat = 1 // nothing came back at all: a contract time at least
 	}
--- a/rules/types.go
+++ b/rules/types.go
@@ -382,6 +382,7 @@
 	latency           float64   // sum over ends of time over contract time
 	took              float64   // sum over completed of time
 	tails             []float64 // time over contract time of the interval's ends
+	lastLat           float64   // mean latency of the last interval
 	lowDone, lowEnded int       // ends gathered for T
 	lowLatency        float64
 	lows              []float64 // recent interval latencies, in Time
