Grants reach nodes that have not yet seen the customer

Cause: two thirds of what passed beyond a rate quota passed at nodes that dropped the grant, as they did not know the customer.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -45,17 +45,17 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
-	openRate    = 0.4          // of a cap on open executions over the usual latency, the rate that fills it
+	openRate    = 0.4           // of a cap on open executions over the usual latency, the rate that fills it
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
-	wordRound  = tellEvery // until a node's word has come back from a home to all
-	leastGrant = 0.01      // of a customer's tickets
-	grantStep  = 0.75      // a grant that falls, or rises, so far is told at once
-	mostEntry  = 40        // bytes of a customer in a message
+	wordRound  = interval // until a node's word has come back from a home to all
+	leastGrant = 0.01     // of a customer's tickets
+	grantStep  = 0.5      // a grant that falls, or rises, so far is told at once
+	mostEntry  = 40       // bytes of a customer in a message
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
@@ -317,14 +317,14 @@
 		return
 	}
 	for _, t := range list {
-		if mark == useMark && (t.plan >= len(n.plans) || t.spread < 1 || t.spread > n.nodes || t.first >= n.nodes) {
+		if mark != rateMark && (t.plan >= len(n.plans) || t.spread < 1 || t.spread > n.nodes || t.first >= n.nodes) {
 			return
 		}
 	}
 	n.heardAt = n.now
 	for _, t := range list {
 		i := n.customer.find(t.key)
-		if mark == useMark && i < 0 && (n.me-t.first+n.nodes)%n.nodes < t.spread {
+		if mark != rateMark && i < 0 && (n.me-t.first+n.nodes)%n.nodes < t.spread {
 			i = n.known(t.key, t.plan, t.spread, t.first)
 		}
 		if i < 0 || (from-n.customers[i].first+n.nodes)%n.nodes >= n.customers[i].spread {
@@ -414,7 +414,8 @@
 		n.noteDue = false
 		return Decision{Verb: Note, Text: n.text}, true
 	}
-	if len(n.news) > 0 {
+	if len(n.news) > 0 && n.now > n.toldAt {
+		n.toldAt = n.now
 		n.report()
 	}
 	if n.now >= n.tellAt {
@@ -658,6 +659,7 @@
 // down: the customer then passes freely until it is back.
 func (n *Node) report() {
 	to := map[int]int{} // position in mail
+	keep := n.news[:0]
 	for _, i := range n.news {
 		c := &n.customers[i]
 		c.news = false
@@ -676,25 +678,27 @@
 		}
 		rate, _ := n.refill(c)
 		want := c.wanted.rate(n.now, demandFade)
-		c.grant = 1
-		if want > 0 {
+		if c.grant = 1; want > 0 {
 			c.grant = min(1, max(leastGrant, (rate+c.level/secs(wordRound))/want))
 		}
-		stale := n.now-c.sentAt > silence/2
-		if was := c.sent; n.now-c.sentAt < tellEvery/4 {
-		} else if stale && (c.grant < 1) || !stale && (c.grant < was*grantStep || c.grant > was/grantStep && was < 1) {
+		was, since := c.sent, n.now-c.sentAt
+		if c.grant < 1 { // look again until all know that it is over
+			c.news = true
+			keep = append(keep, i)
+		}
+		if since >= tellEvery && c.grant < 1 && (since > silence/2 || c.grant < was*grantStep) ||
+			since >= tellEvery && was < 1 && c.grant > was/grantStep {
 			c.sent, c.sentAt = c.grant, n.now
-			text := appendTold([]byte{grantMark}, grantMark, told{key: c.key, figure: c.grant})
+			text := appendTold([]byte{grantMark}, grantMark,
+				told{c.key, c.grant, 0, c.plan, c.spread, c.first})
 			for k := range c.spread {
 				if peer := (c.first + k) % n.nodes; peer != n.me {
 					n.mail = append(n.mail, letter{peer, text})
 				}
 			}
-		} else if stale {
-			c.sent = 1
 		}
 	}
-	n.news = n.news[:0]
+	n.news = keep
 }
 
 // part is this node's part of a customer's recent demand.
--- a/rules/types.go
+++ b/rules/types.go
@@ -363,6 +363,7 @@
 	tellPos int
 	wide    bool     // more nodes than can all hear each other
 	news    []int32  // customers to tell their home, or from their home, of
+	toldAt  Time     // last report
 	mail    []letter // messages that wait for Next
 	heardAt Time     // last message of any peer
 	watchAt Time     // when to ask for the roster; 0: never
@@ -432,8 +433,8 @@
 }
 
 // told is one customer in a message to peers: a mark for what the message is, then for each customer its
-// key and figures in hundredths. A rate has one figure, a grant too; use has asked, passed (which may be
-// below 0), plan, spread and first.
+// key and figures in hundredths. A rate is one figure; use is what was asked and passed (which may be below
+// 0), a grant the part that may pass, both with the customer's plan and set, which its receiver may not know.
 type told struct {
 	key                 uint64
 	figure              float64
@@ -451,7 +452,7 @@
 func appendTold(b []byte, mark byte, t told) []byte {
 	b = binary.AppendUvarint(b, t.key)
 	b = binary.AppendUvarint(b, uint64(min(max(0, t.figure*100+0.5), mostTold)))
-	if mark == useMark {
+	if mark != rateMark {
 		b = binary.AppendVarint(b, int64(min(max(-mostTold, t.passed*100), mostTold)))
 		b = binary.AppendUvarint(b, uint64(t.plan))
 		b = binary.AppendUvarint(b, uint64(t.spread))
@@ -482,7 +483,7 @@
 	}
 	for ok && len(b) > 0 {
 		t := told{key: number(), figure: small() / 100}
-		if mark == useMark {
+		if mark != rateMark {
 			v := number() // zigzag, as AppendVarint writes it
 			passed := int64(v>>1) ^ -int64(v&1)
 			ok = ok && passed <= mostTold && passed >= -mostTold
