--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,6 +54,7 @@
 
 	wordRound  = interval // until a node's word has come back from a home to all
 	leastGrant = 0.01     // of a customer's tickets
+	reserve    = 0.5     // of a store, kept for what passes until word gets round
 	grantStep  = 0.5      // a grant that falls, or rises, so far is told at once
 	mostEntry  = 40       // bytes of a customer in a message
 
@@ -676,10 +677,10 @@
 			c.asked2, c.passed2 = 0, 0
 			continue
 		}
-		rate, _ := n.refill(c)
+		rate, depth := n.refill(c)
 		want := c.wanted.rate(n.now, demandFade)
 		if c.grant = 1; want > 0 {
-			c.grant = min(1, max(leastGrant, (rate+c.level/secs(wordRound))/want))
+			c.grant = min(1, max(leastGrant, (rate+(c.level-reserve*depth)/secs(wordRound))/want))
 		}
 		was, since := c.sent, n.now-c.sentAt
 		if c.grant < 1 { // look again until all know that it is over
