Suspicion of a server by band; an error is no pressure

Cause: a server that fails one band and serves the other was cleared by each answer; and errors counted as a whole contract time of latency, so λ fell. Guards also against a server that fails one kind of work for any reason.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -54,7 +54,7 @@
 
 	wordRound  = interval // until a node's word has come back from a home to all
 	leastGrant = 0.01     // of a customer's tickets
-	reserve    = 0.5     // of a store, kept for what passes until word gets round
+	reserve    = 0.5      // of a store, kept for what passes until word gets round
 	grantStep  = 0.5      // a grant that falls, or rises, so far is told at once
 	mostEntry  = 40       // bytes of a customer in a message
 
@@ -132,12 +132,15 @@
 		if i < 0 {
 			i = n.serverOf.add(l.Server)
 			// Nodes that start alike must not all begin at the same servers.
-			n.servers = append(n.servers, appServer{Listing: l, sentNow: n.chance.unit(),
+			n.servers = append(n.servers, appServer{Listing: l, by: make([]standing, len(n.bands)), sentNow: n.chance.unit(),
 				turn: (n.chance.unit() - 0.5) * l.Weight * float64(max(len(list), n.ready))})
 		}
 		s := &n.servers[i]
 		if s.Started != l.Started { // a new process: what the old one did says nothing
-			s.pace, s.misses, s.until, s.shut, s.trying, s.sentNow = faded{}, 0, 0, 0, false, n.chance.unit()
+			s.pace, s.sentNow = faded{}, n.chance.unit()
+			for k := range s.by {
+				s.by[k] = standing{open: s.by[k].open}
+			}
 		}
 		s.Listing, s.known = l, l.State != Gone
 	}
@@ -219,18 +222,19 @@
 		n.inWork--
 	}
 	s := &n.servers[x.server]
-	lone := n.now < s.until // its ends tell of that server, not of pressure
+	lone := n.now < s.by[t.band].until // its ends tell of that server, not of pressure
 	// A time-out that left the execution little time, as an impatient client's, says next to nothing: it
 	// is neither pressure nor a miss. Covers any short outer limit; could hide a server that hangs while
 	// all clients are impatient, which its silence then tells.
 	hasty := r.Outcome == TimedOut && r.Took < b.contract/2
 	if hasty {
-		n.judge(s, b, Moot, r.Took)
+		n.judge(s, t.band, Moot, r.Took)
 	} else {
-		n.judge(s, b, r.Outcome, r.Took)
+		n.judge(s, t.band, r.Outcome, r.Took)
 	}
 	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
-	if r.Outcome == OK || !lone && !hasty && !lost && r.Outcome != Moot && r.Outcome != Withdrawn {
+	if r.Outcome == OK || !lone && !hasty && !lost && r.Outcome != Moot && r.Outcome != Withdrawn &&
+		r.Outcome != Failed { // an error tells nothing of the queue
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
@@ -263,47 +267,54 @@
 	}
 }
 
-// judge learns of a server from one end. It guards against servers that fail, cut links and processes
-// that hang; it covers a lost zone too. It could harm where errors come from the tickets themselves:
-// then servers rest for a contract time by turns, and pick falls back on all when none is left.
-func (n *Node) judge(s *appServer, b *band, o Outcome, took Time) {
-	trial := s.trying
+// judge learns of a server from one end, for each band alone: a server may fail one and serve the others.
+// It guards against servers that fail, cut links and processes that hang; it covers a lost zone too. It
+// could harm where errors come from the tickets themselves: then servers rest for a contract time by
+// turns, and pick falls back on all when none is left.
+func (n *Node) judge(s *appServer, band int, o Outcome, took Time) {
+	b, at := &n.bands[band], &s.by[band]
+	trial := at.trying
 	s.open--
-	s.lost = min(s.lost, s.open)
-	s.trying = false
+	at.open--
+	at.lost, at.trying = min(at.lost, at.open), false
 	switch o {
 	case OK:
-		s.misses, s.shut, s.until, s.heard, s.waited = 0, 0, 0, n.now, 0
+		*at = standing{open: at.open, heard: n.now, lost: at.lost, owed: at.owed}
 		s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
 	case Full:
-		s.heard = n.now
-	case Failed, TimedOut, Unreached, Reset:
-		if o == Failed {
-			s.heard = n.now
-		}
-		if s.misses++; o == Unreached || o == Reset || trial || s.misses >= missesMost {
-			n.rest(s)
-		}
-		if o != Failed {
-			s.pace.add(max(1, float64(took)/n.usualOf(b)), n.now, paceFade)
+		at.heard = n.now
+	case Failed: // rare where all is well, so that one tells enough
+		at.heard = n.now
+		at.misses++
+		n.rest(at)
+	case Unreached, Reset:
+		for k := range s.by {
+			s.by[k].misses++
+			n.rest(&s.by[k])
 		}
-	case Withdrawn: // at least that slow
-		if float64(took) > n.usualOf(b) {
-			s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
+	case TimedOut:
+		if at.misses++; trial || at.misses >= missesMost {
+			n.rest(at)
 		}
 	}
+	if slow := float64(took) / n.usualOf(b); o == Withdrawn && slow > 1 || o == TimedOut || o == Unreached ||
+		o == Reset { // at least that slow
+		s.pace.add(max(1, slow), n.now, paceFade)
+	}
 }
 
-// rest takes a server out of the rotation, each time for twice as long.
-func (n *Node) rest(s *appServer) {
-	s.shut = min(max(2*s.shut, n.contract), shutMost*n.contract)
-	s.until = n.now + s.shut
+// rest takes a server out of a band's rotation, each time for twice as long.
+func (n *Node) rest(at *standing) {
+	at.shut = min(max(2*at.shut, n.contract), shutMost*n.contract)
+	at.until = n.now + at.shut
 }
 
 // Probed notes the answer of a probe.
 func (n *Node) Probed(id uint32, o Outcome, load []float64) {
 	if i := n.serverOf.find(id); i >= 0 && o == OK {
-		n.servers[i].heard = n.now
+		for k := range n.servers[i].by {
+			n.servers[i].by[k].heard = n.now
+		}
 	}
 }
 
@@ -480,13 +491,15 @@
 		n.extra--
 	}
 	srv := &n.servers[s]
+	at := &srv.by[t.band]
 	srv.open++
+	at.open++
 	if n.coldShare(srv) < 1 {
 		n.coldLeak(srv)
 		srv.sentNow++
 	}
-	if n.now < srv.until || srv.misses > 0 {
-		srv.trying = true
+	if n.now < at.until || at.misses > 0 {
+		at.trying = true
 	}
 	t.runs = append(t.runs, execution{server: s, sent: n.now, out: true, mayRun: true})
 	if t.out++; t.out == 1 {
@@ -586,13 +599,15 @@
 	for i := range n.servers {
 		s := &n.servers[i]
 		all += s.open
-		if n.suspect(s) {
-			suspects++
-		} else {
-			sound += s.open - s.lost
+		for k := range s.by {
+			if at := &s.by[k]; n.suspect(at) {
+				suspects++
+			} else {
+				sound += at.open - at.lost
+			}
 		}
 	}
-	if 3*suspects > 2*n.ready {
+	if 3*suspects > 2*n.ready*len(n.bands) {
 		return float64(all)
 	}
 	return float64(sound)
@@ -798,7 +813,7 @@
 		best, sum := int32(-1), 0.0
 		for i := range n.servers {
 			s := &n.servers[i]
-			if s.weight <= 0 || level < 2 && n.suspect(s) {
+			if s.weight <= 0 || level < 2 && n.suspect(&s.by[t.band]) {
 				continue
 			}
 			if fair := float64(open+1) * s.weight / total; level == 0 &&
@@ -864,8 +879,8 @@
 }
 
 // suspect tells whether a server is out of the rotation; past its rest it gets one trial at a time.
-func (n *Node) suspect(s *appServer) bool {
-	return n.now < s.until || s.trying
+func (n *Node) suspect(at *standing) bool {
+	return n.now < at.until || at.trying
 }
 
 // coldShare is the least share of its capacity that a fresh server has by now.
@@ -917,12 +932,14 @@
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
 	for i := range n.servers {
-		n.servers[i].waited, n.servers[i].lost = 0, 0
+		for k := range n.servers[i].by {
+			n.servers[i].by[k].waited, n.servers[i].by[k].lost = 0, 0
+		}
 	}
 	for i := range n.tickets {
 		t := &n.tickets[i]
 		for _, x := range t.runs {
-			if s := &n.servers[x.server]; t.live && x.out {
+			if s := &n.servers[x.server].by[t.band]; t.live && x.out {
 				usual := n.usualOf(&n.bands[t.band])
 				s.waited += float64(n.now-max(x.sent, s.heard, s.owed)) / usual
 				if float64(n.now-x.sent) > silentAfter*usual {
@@ -932,10 +949,12 @@
 		}
 	}
 	for i := range n.servers {
-		if s := &n.servers[i]; s.waited > silentAfter && n.now >= s.until {
-			s.misses++
-			s.owed, s.trying = n.now, false
-			n.rest(s)
+		for k := range n.servers[i].by {
+			if s := &n.servers[i].by[k]; s.waited > silentAfter && n.now >= s.until {
+				s.misses++
+				s.owed, s.trying = n.now, false
+				n.rest(s)
+			}
 		}
 	}
 	for i := range n.tickets {
@@ -948,7 +967,7 @@
 		for k := range t.runs {
 			x := &t.runs[k]
 			if !x.out || t.closed || t.bound || t.out > 1 || n.now-x.sent < due ||
-				n.now >= t.came+b.contract || !n.suspect(&n.servers[x.server]) || !n.further(t) {
+				n.now >= t.came+b.contract || !n.suspect(&n.servers[x.server].by[t.band]) || !n.further(t) {
 				continue
 			}
 			if n.set.Is("copies") {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -121,7 +121,7 @@
 	if len(again) != 1 || again[0].Server == first[0].Server {
 		t.Fatalf("sent again to %v after %v", again, first)
 	}
-	if !n.suspect(&n.servers[first[0].Server]) {
+	if !n.suspect(&n.servers[first[0].Server].by[0]) {
 		t.Fatal("the silent server is in good standing")
 	}
 }
@@ -201,7 +201,7 @@
 	for _, d := range pull(n, Send) {
 		n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Outcome: TimedOut, Took: 500})
 	}
-	if n.servers[0].misses+n.servers[1].misses+n.ended != 0 {
-		t.Fatalf("%d misses, %d ends counted", n.servers[0].misses+n.servers[1].misses, n.ended)
+	if n.servers[0].by[0].misses+n.servers[1].by[0].misses+n.ended != 0 {
+		t.Fatalf("%d misses, %d ends counted", n.servers[0].by[0].misses+n.servers[1].by[0].misses, n.ended)
 	}
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -269,18 +269,24 @@
 	pace    faded // latencies over their band's usual one
 	turn    float64
 	weight  float64 // as of this pick
-	misses  int     // ends without an answer in a row
-	until   Time    // suspected until then
-	shut    Time    // how long the last suspicion lasted
-	trying  bool    // one trial execution is out after a suspicion
-	heard   Time    // last answer of any kind
-	owed    Time    // what was owed before has been counted
-	lost    int     // out for so long that no answer is expected, as of the last beat
-	waited  float64 // usual latencies that what is out has waited for since the last answer
+	by      []standing
 	coldAt  Time    // when sentNow was last brought up to date
 	sentNow float64 // executions counted against the cold budget
 }
 
+// standing is what is known of how a server serves one band.
+type standing struct {
+	open   int
+	lost   int     // out for so long that no answer is expected, as of the last beat
+	misses int     // ends without an answer in a row
+	until  Time    // suspected until then
+	shut   Time    // how long the last suspicion lasted
+	trying bool    // one trial execution is out after a suspicion
+	heard  Time    // last answer of any kind
+	owed   Time    // what was owed before has been counted
+	waited float64 // usual latencies that what is out has waited for since the last answer
+}
+
 // customer lives until it has been idle for long.
 type customer struct {
 	key       uint64
