--- a/rules/rules.go
+++ b/rules/rules.go
@@ -63,7 +63,7 @@
 	paceCap     = 1.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
-	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
+	silentAfter = 6.0          // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
 
 	extraEach = 0.2  // further executions earned by a first one
@@ -92,7 +92,7 @@
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
 	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
-		beatAt: now, tokensAt: now, quiet: true, heardAt: now - silence,
+		beatAt: now, doubtAt: now + tellEvery, tokensAt: now, quiet: true, heardAt: now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
@@ -303,10 +303,43 @@
 	}
 }
 
+// doubt takes in what a peer suspects. A node of many sees each server seldom: alone it would spend one
+// execution on each that fails, as often as all the others do. What it saw answer lately it goes on using.
+// It covers dead servers that the roster still names; it could harm where one node's link is cut and its
+// messages get through: then servers rest until its word runs out.
+func (n *Node) doubt(list []doubted) {
+	for _, d := range list {
+		i := n.serverOf.find(d.server)
+		if i < 0 || d.band >= len(n.bands) {
+			continue
+		}
+		at := &n.servers[i].by[d.band]
+		if at.misses > 0 && !at.told || n.now-at.heard < n.contract && at.heard > 0 {
+			continue
+		}
+		at.misses, at.told = max(at.misses, 1), true
+		at.until = max(at.until, n.now+min(d.rest, shutMost*n.contract))
+	}
+}
+
+// doubts names the servers that this node itself found at fault and that rest.
+func (n *Node) doubts() []byte {
+	text := append(n.text[:0], doubtMark)
+	for i := range n.servers {
+		for k := range n.servers[i].by {
+			if at := &n.servers[i].by[k]; n.now < at.until && !at.told && len(text)+mostEntry < maxTell {
+				text = appendDoubt(text, doubted{n.servers[i].Server, k, at.until - n.now})
+			}
+		}
+	}
+	n.text = text
+	return text
+}
+
 // rest takes a server out of a band's rotation, each time for twice as long.
 func (n *Node) rest(at *standing) {
 	at.shut = min(max(2*at.shut, n.contract), shutMost*n.contract)
-	at.until = n.now + at.shut
+	at.until, at.told = n.now+at.shut, false
 }
 
 // Probed notes the answer of a probe.
@@ -324,6 +357,12 @@
 // Heard takes in a peer's message. One that is malformed in any place is passed over whole, and so is what
 // comes from outside a customer's set.
 func (n *Node) Heard(from int, b []byte) {
+	if len(b) > 0 && b[0] == doubtMark {
+		if list, ok := readDoubts(b); ok && from >= 0 && from < n.nodes && from != n.me {
+			n.doubt(list)
+		}
+		return
+	}
 	mark, list, ok := readTold(b)
 	if !ok || from < 0 || from >= n.nodes || from == n.me || n.wide == (mark == rateMark) {
 		return
@@ -441,6 +480,14 @@
 			return Decision{Verb: Tell, Text: text, Peer: Everyone}, true
 		}
 	}
+	if n.now >= n.doubtAt && n.set.Is("peers") && n.nodes > 1 {
+		// all nodes together send each as much as a quarter of what it takes in
+		n.doubtAt = n.now + max(tellEvery, Time(float64(interval)*float64(n.nodes)/
+			max(0.01, tellShare/2*n.set.Num("peers.take"))))
+		if text := n.doubts(); len(text) > 1 {
+			return Decision{Verb: Tell, Text: text, Peer: Everyone}, true
+		}
+	}
 	if k := len(n.mail); k > 0 {
 		m := n.mail[k-1]
 		n.mail = n.mail[:k-1]
--- a/rules/types.go
+++ b/rules/types.go
@@ -281,6 +281,7 @@
 	misses int     // ends without an answer in a row
 	until  Time    // suspected until then
 	shut   Time    // how long the last suspicion lasted
+	told   bool    // by a peer, not found here
 	trying bool    // one trial execution is out after a suspicion
 	heard  Time    // last answer of any kind
 	owed   Time    // what was owed before has been counted
@@ -370,6 +371,7 @@
 	wide    bool     // more nodes than can all hear each other
 	news    []int32  // customers to tell their home, or from their home, of
 	toldAt  Time     // last report
+	doubtAt Time     // next message of doubts
 	mail    []letter // messages that wait for Next
 	heardAt Time     // last message of any peer
 	watchAt Time     // when to ask for the roster; 0: never
@@ -501,6 +503,37 @@
 	return mark, list, ok
 }
 
+// doubted is a server's band that a peer lets rest, and for how much longer.
+type doubted struct {
+	server uint32
+	band   int
+	rest   Time
+}
+
+const doubtMark = 0xCA
+
+func appendDoubt(b []byte, d doubted) []byte {
+	b = binary.AppendUvarint(b, uint64(d.server))
+	b = binary.AppendUvarint(b, uint64(d.band))
+	return binary.AppendUvarint(b, uint64(d.rest))
+}
+
+// readDoubts reads a whole message or nothing of it.
+func readDoubts(b []byte) (list []doubted, ok bool) {
+	for b = b[1:]; len(b) > 0; {
+		var v [3]uint64
+		for i := range v {
+			x, k := binary.Uvarint(b)
+			if k <= 0 || x > math.MaxUint32 {
+				return nil, false
+			}
+			v[i], b = x, b[k:]
+		}
+		list = append(list, doubted{uint32(v[0]), int(v[1]), Time(v[2])})
+	}
+	return list, true
+}
+
 // push queues a ticket for Next.
 func (n *Node) push(i int32) {
 	if t := &n.tickets[i]; !t.queued {
