Where a slice of a store holds no ticket the part is the slice over metered use

Cause: one ticket of a customer that comes in by a hundred nodes takes a hundred slices; 23,000 of 30,000 quota bounces had room.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -35,7 +35,7 @@
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	leastOpen  = 1.0    // executions a ready server by all nodes that a rests on, however little completes
-	enoughLat  = 15     // ends that an interval's latency rests on
+	enoughLat  = 10     // ends that an interval's latency rests on
 	fade       = 0.3    // of the features' moving averages, an interval
 	enough     = 30     // ends that a latency must rest on to count for T
 	recent     = 30     // intervals that T looks back on
@@ -45,7 +45,11 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
-	openRate    = 0.4           // of a cap on open executions over the usual latency, the rate that fills it
+	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
+	openWide    = 0.6           // of that where the bucket alone holds the cap, as what is out swings by chance
+	underUse    = 0.4           // of a quota
+	thin        = 1.0           // tickets that an even slice of a store must hold to be a bucket of its own
+	longWord    = 5 * silence   // where it doesn't, the meter's word holds
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
@@ -63,9 +67,11 @@
 	paceCap     = 1.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
-	silentAfter = 6.0          // usual latencies that all out at a server waited, with no answer
+	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
 
+	silentAlone = 7.0 // usual latencies that one alone waited
+
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
 	spareOver = 2.5  // and times the usual latency
@@ -664,7 +670,7 @@
 func (n *Node) charge(t *ticket) {
 	c := &n.customers[t.customer]
 	n.tokens--
-	c.level -= t.guess / t.share
+	c.level = max(c.level, 0) - t.guess/t.share
 	n.use(t.customer, t.guess/max(leastGrant, c.grant), t.guess)
 	c.passed.add(t.guess, n.now, demandFade)
 	c.ceiling -= t.guess
@@ -687,6 +693,13 @@
 	if rate <= 0 {
 		return true, 0
 	}
+	// Where an even slice of the store holds no ticket, a bucket of slices would turn away what a customer
+	// far under its quota sends. The meter's last word, though old, tells such a one: it passes.
+	if slice := 1 / float64(c.spread); n.set.Span("meter") > 0 && depth*slice < thin*t.guess {
+		if t.share = slice; c.meterAt > 0 && n.now-c.meterAt < longWord {
+			t.share = min(1, slice/min(1, max(underUse, c.metered/rate)))
+		}
+	}
 	if short := min(t.guess, depth) - c.level; short > 0 {
 		return false, Time(short / rate * float64(Second))
 	}
@@ -699,6 +712,9 @@
 	p := n.plans[c.plan]
 	if rate, depth = p.rate, p.depth; rate <= 0 && p.open > 0 {
 		rate, depth = openRate*n.quotaRate(p), float64(p.open)
+		if n.wide {
+			rate *= openWide
+		}
 	}
 	c.level = min(c.level+rate*secs(n.now-c.filled), depth)
 	c.filled = n.now
@@ -988,7 +1004,11 @@
 		for _, x := range t.runs {
 			if s := &n.servers[x.server].by[t.band]; t.live && x.out {
 				usual := n.usualOf(&n.bands[t.band])
-				s.waited += float64(n.now-max(x.sent, s.heard, s.owed)) / usual
+				waits := float64(n.now-max(x.sent, s.heard, s.owed)) / usual
+				s.waited += waits
+				if waits > silentAlone {
+					s.waited = math.Inf(1)
+				}
 				if float64(n.now-x.sent) > silentAfter*usual {
 					s.lost++
 				}
