--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,14 +24,14 @@
 const (
 	interval   = Second // of the limit, as the design says
 	swing      = 1.0    // roots of an even share on top of it
-	fresh      = 2.3    // executions a ready server by all nodes, this node's even share while fresh
+	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
 	openQuiet  = 1.4    // times the least allowance while latency is quiet, and with the root of the nodes
 	openNodes  = 0.6    // so much more: over many nodes the chance swings of each even out
 	openLeast  = 1.1    // executions a ready server by all nodes that are let out in any case
 	lowShare   = 0.125  // of the contract time: a latency that is low enough whatever was seen
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
-	hopeless   = 1.5    // usual latencies that a ticket must have left
+	hopeless   = 1.0    // usual latencies that a ticket must have left
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
 	leastOpen  = 1.0    // executions a ready server by all nodes that a rests on, however little completes
