--- a/rules/helpers_test.go
+++ b/rules/helpers_test.go
@@ -185,7 +185,7 @@
 	case 3:
 		b := make([]byte, h.rng.Intn(20))
 		h.rng.Read(b)
-		h.n.Heard(h.rng.Intn(6)-1, append([]byte{rateMark}, b...))
+		h.n.Heard(h.rng.Intn(6)-1, append([]byte{useMark}, b...))
 	case 4: // killed outright: what it held is lost, the servers and ceilings are not
 		h.order = h.order[:0]
 		h.tickets = map[uint32]*asked{}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,7 +48,6 @@
 	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
 	openWide    = 0.6           // of that where the bucket alone holds the cap, as what is out swings by chance
 	underUse    = 0.4           // of a quota
-	thin        = 1.0           // tickets that an even slice of a store must hold to be a bucket of its own
 	longWord    = 5 * silence   // where it doesn't, the meter's word holds
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	leastPart   = 0.2           // of the even slice
@@ -56,22 +55,20 @@
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
-	wordRound  = interval // until a node's word has come back from a home to all
-	leastGrant = 0.01     // of a customer's tickets
-	reserve    = 0.5      // of a store, kept for what passes until word gets round
-	grantStep  = 0.5      // a grant that falls, or rises, so far is told at once
-	mostEntry  = 40       // bytes of a customer in a message
+	leastGrant = 0.01 // of a customer's tickets
+	reserve    = 0.5  // of a store, kept for what passes until word gets round
+	grantStep  = 0.5  // a grant that falls, or rises, so far is told at once
+	heardLeast = 0.1  // of a faded count of messages
+	mostEntry  = 40   // bytes of a customer in a message
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
-	paceCap     = 1.0          // open executions over the fair share
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
 	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
+	silentAlone = 7.0          // that one alone waited
 	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
 
-	silentAlone = 7.0 // usual latencies that one alone waited
-
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
 	spareOver = 2.5  // and times the usual latency
@@ -82,10 +79,7 @@
 // last, then one output. In-flight is over what completes in a contract time, latency runs from 0 (as
 // low as seen lately) to 1 (latSpan times that on top). Hand-set until fitted: flat
 // while quiet, falling as either rises.
-var policy = struct {
-	hidden [4][5]float64
-	out    [5]float64
-}{
+var policy = network{
 	hidden: [4][5]float64{
 		{0, 0, 1, 0, -quietUnder},
 		{0, 0, 0, 1, -quietUnder},
@@ -98,7 +92,7 @@
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
 	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
-		beatAt: now, doubtAt: now + tellEvery, tokensAt: now, quiet: true, heardAt: now - silence,
+		beatAt: now, lastLat: lowShare, doubtAt: now + tellEvery, tokensAt: now, quiet: true, heardAt: now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
@@ -117,9 +111,6 @@
 
 // ---- Bookkeeping: what is known.
 
-// Clock sets the time.
-func (n *Node) Clock(now Time) { n.now = now }
-
 // Roster takes in a message of the server roster.
 func (n *Node) Roster(kind RosterKind, list []Listing) {
 	if kind == Missed {
@@ -158,8 +149,6 @@
 	}
 }
 
-func (s *appServer) usable() bool { return s.known && s.State == Ready }
-
 // Take notes a ticket that came in.
 func (n *Node) Take(a Arrival) {
 	i := n.ticketOf.add(a.ID)
@@ -171,47 +160,17 @@
 		came: n.now, until: n.now + a.Left, guess: a.Units, share: 1, runs: t.runs[:0]}
 	t.customer = n.known(a.Customer, t.plan, a.Spread, a.First)
 	c := &n.customers[t.customer]
-	c.last, c.newUse = n.now, true
+	c.last = n.now
 	c.asked.add(a.Units, n.now, demandFade)
-	n.push(i)
-}
-
-// known is the number of a customer, noted if it is new. A set that can't be is taken for what it can mean.
-func (n *Node) known(key uint64, plan, spread, first int) int32 {
-	i := n.customer.find(key)
-	if i < 0 {
-		i = n.customer.add(key)
-		if int(i) == len(n.customers) {
-			n.customers = append(n.customers, customer{})
-		}
-		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1, sent: 1}
-		if n.set.Is("peers") && !n.wide {
-			n.customers[i].peers = make([]heardRate, n.nodes)
-		}
+	if !n.wide {
+		n.use(t.customer, a.Units, 0)
 	}
-	c := &n.customers[i]
-	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
-	return i
+	n.push(i)
 }
 
 // home is the node of a customer's set that keeps its bucket where not all nodes can hear all.
 func (n *Node) home(c *customer) int { return (c.first + int(c.key%uint64(c.spread))) % n.nodes }
 
-// Started notes that an answer has begun: the client owns the execution now.
-func (n *Node) Started(id uint32) {
-	if i := n.ticketOf.find(id); i >= 0 {
-		n.tickets[i].bound = true
-	}
-}
-
-// Lapsed notes that the client has gone.
-func (n *Node) Lapsed(id uint32) {
-	if i := n.ticketOf.find(id); i >= 0 {
-		n.shut(i)
-	}
-}
-
 // Ended notes how an execution ended.
 func (n *Node) Ended(r Result) {
 	i := n.ticketOf.find(r.Ticket)
@@ -233,14 +192,13 @@
 	// is neither pressure nor a miss. Covers any short outer limit; could hide a server that hangs while
 	// all clients are impatient, which its silence then tells.
 	hasty := r.Outcome == TimedOut && r.Took < b.contract/2
+	seen := r.Outcome
 	if hasty {
-		n.judge(s, t.band, Moot, r.Took)
-	} else {
-		n.judge(s, t.band, r.Outcome, r.Took)
+		seen = Moot
 	}
-	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
-	if r.Outcome == OK || !lone && !hasty && !lost && r.Outcome != Moot && r.Outcome != Withdrawn &&
-		r.Outcome != Failed { // an error tells nothing of the queue
+	n.judge(s, t.band, seen, r.Took)
+	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b)                   // see pressing
+	if r.Outcome == OK || !lone && !lost && seen != Moot && seen != Withdrawn && seen != Failed { // an error tells nothing of the queue
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
@@ -256,7 +214,9 @@
 		b.took.add(float64(r.Took), n.now, paceFade)
 		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
 			c.level -= (r.Units - t.guess) / t.share
-			n.use(t.customer, 0, r.Units-t.guess)
+			if n.wide {
+				n.use(t.customer, 0, r.Units-t.guess)
+			}
 		}
 	}
 	if r.Use > 0 {
@@ -348,69 +308,49 @@
 	at.until, at.told = n.now+at.shut, false
 }
 
-// Probed notes the answer of a probe.
-func (n *Node) Probed(id uint32, o Outcome, load []float64) {
-	if i := n.serverOf.find(id); i >= 0 && o == OK {
-		for k := range n.servers[i].by {
-			n.servers[i].by[k].heard = n.now
-		}
-	}
-}
-
-// Elapsed notes that a wake came; the time is all it tells.
-func (n *Node) Elapsed() {}
-
 // Heard takes in a peer's message. One that is malformed in any place is passed over whole, and so is what
 // comes from outside a customer's set.
 func (n *Node) Heard(from int, b []byte) {
-	if len(b) > 0 && b[0] == doubtMark {
-		if list, ok := readDoubts(b); ok && from >= 0 && from < n.nodes && from != n.me {
-			n.doubt(list)
-		}
-		return
-	}
-	mark, list, ok := readTold(b)
-	if !ok || from < 0 || from >= n.nodes || from == n.me || n.wide == (mark == rateMark) {
+	m, ok := readTold(b)
+	if !ok || from < 0 || from >= n.nodes || from == n.me {
 		return
 	}
-	for _, t := range list {
-		if mark != rateMark && (t.plan >= len(n.plans) || t.spread < 1 || t.spread > n.nodes || t.first >= n.nodes) {
+	n.doubt(m.doubts)
+	for _, t := range m.told {
+		if t.plan >= len(n.plans) || t.spread < 1 || t.spread > n.nodes || t.first >= n.nodes {
 			return
 		}
 	}
 	n.heardAt = n.now
-	for _, t := range list {
-		i := n.customer.find(t.key)
-		if mark != rateMark && i < 0 && (n.me-t.first+n.nodes)%n.nodes < t.spread {
-			i = n.known(t.key, t.plan, t.spread, t.first)
-		}
-		if i < 0 || (from-n.customers[i].first+n.nodes)%n.nodes >= n.customers[i].spread {
+	for _, t := range m.told {
+		if !n.inSet(n.me, t.first, t.spread) || !n.inSet(from, t.first, t.spread) {
 			continue
 		}
+		i := n.known(t.key, t.plan, t.spread, t.first)
 		switch c := &n.customers[i]; {
-		case mark == rateMark:
-			c.peers[from] = heardRate{t.figure, n.now}
-		case mark == useMark && n.home(c) == n.me:
+		case m.mark == useMark && n.wide && n.home(c) == n.me:
 			c.last = n.now
 			c.level -= t.passed
 			n.use(i, t.figure, t.passed)
-		case mark == grantMark && n.home(c) == from:
-			c.grant, c.grantAt = min(t.figure, 1), n.now
+		case m.mark == useMark && !n.wide:
+			c.wanted.add(t.figure, n.now, demandFade)
+		case m.mark == grantMark && n.home(c) == from:
+			c.last, c.grant, c.grantAt = n.now, min(t.figure, 1), n.now
 		}
 	}
 }
 
-// use notes what is to be told of a customer's use where not all nodes can hear all: to its home, or, at
-// its home, to the others.
+// use notes what is to be told of a customer's use: to all; where not all nodes can hear all, to its home,
+// or, at its home, to the others.
 func (n *Node) use(i int32, asked, passed float64) {
 	c := &n.customers[i]
-	if !n.wide || c.spread <= 1 || !n.set.Is("peers") {
+	if c.spread <= 1 || !n.set.Is("peers") {
 		return
 	}
-	if n.home(c) == n.me {
+	if n.wide && n.home(c) == n.me {
 		c.wanted.add(asked, n.now, demandFade)
 	} else {
-		c.asked2, c.passed2 = c.asked2+asked, c.passed2+passed
+		c.toldAsked, c.toldPassed = c.toldAsked+asked, c.toldPassed+passed
 	}
 	if !c.news {
 		c.news = true
@@ -471,20 +411,9 @@
 		n.noteDue = false
 		return Decision{Verb: Note, Text: n.text}, true
 	}
-	if len(n.news) > 0 && n.now > n.toldAt {
-		n.toldAt = n.now
-		n.report()
-	}
-	if n.now >= n.tellAt {
+	if n.nodes > 1 && n.set.Is("peers") && (n.now >= n.tellAt || n.wide && n.now > n.tellAt-tellEvery) {
 		n.tellAt = n.now + tellEvery
-		if n.set.Is("peers") && n.nodes > 1 && !n.wide {
-			text, more := n.tell()
-			if more { // as soon as peers can take it, so that a large fleet's customers are named in time
-				n.tellAt = n.now + min(tellEvery, Time(float64(interval)*float64(n.nodes-1)/
-					(tellShare*max(1, n.set.Num("peers.take")))))
-			}
-			return Decision{Verb: Tell, Text: text, Peer: Everyone}, true
-		}
+		n.report()
 	}
 	if n.now >= n.doubtAt && n.set.Is("peers") && n.nodes > 1 {
 		// all nodes together send each as much as a quarter of what it takes in
@@ -513,10 +442,8 @@
 // decide settles what happens with a ticket now; nothing may be the answer while a copy is out.
 func (n *Node) decide(i int32) (Decision, bool) {
 	t := &n.tickets[i]
-	spare := t.spare
-	t.spare = false
 	left := t.until - n.now - n.margin()
-	if t.closed || t.bound || (t.out > 0 && !spare) {
+	if t.closed || t.bound || t.out > 0 {
 		return Decision{}, false
 	}
 	ok := left > 0
@@ -531,9 +458,6 @@
 		s = n.pick(t)
 	}
 	if s < 0 {
-		if t.out > 0 {
-			return Decision{}, false
-		}
 		return n.giveUp(i, advice), true
 	}
 	if len(t.runs) == 0 {
@@ -671,7 +595,9 @@
 	c := &n.customers[t.customer]
 	n.tokens--
 	c.level = max(c.level, 0) - t.guess/t.share
-	n.use(t.customer, t.guess/max(leastGrant, c.grant), t.guess)
+	if n.wide {
+		n.use(t.customer, t.guess/max(leastGrant, c.grant), t.guess)
+	}
 	c.passed.add(t.guess, n.now, demandFade)
 	c.ceiling -= t.guess
 }
@@ -682,7 +608,10 @@
 	p := n.plans[c.plan]
 	t.share = n.part(c)
 	if t.share == 1 && c.spread > 1 && n.wide {
-		if grant := n.granted(c); grant < 1 && n.chance.unit() >= grant {
+		if n.home(c) != n.me && n.now-c.grantAt > silence { // its home says nothing: the store holds enough
+			c.grant = 1
+		}
+		if c.grant < 1 && n.chance.unit() >= c.grant {
 			return false, Time(n.usualOf(&n.bands[t.band]))
 		}
 	}
@@ -695,7 +624,7 @@
 	}
 	// Where an even slice of the store holds no ticket, a bucket of slices would turn away what a customer
 	// far under its quota sends. The meter's last word, though old, tells such a one: it passes.
-	if slice := 1 / float64(c.spread); n.set.Span("meter") > 0 && depth*slice < thin*t.guess {
+	if slice := 1 / float64(c.spread); n.set.Span("meter") > 0 && depth*slice < t.guess {
 		if t.share = slice; c.meterAt > 0 && n.now-c.meterAt < longWord {
 			t.share = min(1, slice/min(1, max(underUse, c.metered/rate)))
 		}
@@ -721,15 +650,6 @@
 	return rate, depth
 }
 
-// granted is the part of a customer's tickets that may pass here: 1 unless its home says that the store
-// runs out.
-func (n *Node) granted(c *customer) float64 {
-	if n.home(c) != n.me && (c.grantAt == 0 || n.now-c.grantAt > silence) {
-		c.grant = 1
-	}
-	return c.grant
-}
-
 // report writes the letters where not all nodes can hear all. One node of a customer's set is its home:
 // the others tell it what was asked and passed, at most once each tellEvery, and it keeps the one bucket.
 // While that holds enough for what is asked until word gets round, the home is silent and all take part 1;
@@ -737,39 +657,42 @@
 // sees enough of the customer for a bucket of its own to hold one ticket. It could harm where a home is
 // down: the customer then passes freely until it is back.
 func (n *Node) report() {
-	to := map[int]int{} // position in mail
+	if !n.wide { // goes out even when empty, so that silence means something
+		n.mail = append(n.mail, letter{Everyone, []byte{useMark}})
+	}
 	keep := n.news[:0]
 	for _, i := range n.news {
 		c := &n.customers[i]
 		c.news = false
-		home := n.home(c)
-		if home != n.me {
-			k, ok := to[home]
-			if !ok || len(n.mail[k].text)+mostEntry > maxTell {
-				k = len(n.mail)
-				to[home] = k
+		if !n.wide && c.asked.rate(n.now, demandFade) <= n.quotaRate(n.plans[c.plan])/float64(2*c.spread) {
+			c.toldAsked = 0
+			continue
+		}
+		if home := n.home(c); !n.wide || home != n.me {
+			if !n.wide {
+				home = Everyone
+			}
+			if n.wide || len(n.mail[len(n.mail)-1].text)+mostEntry > maxTell {
 				n.mail = append(n.mail, letter{home, []byte{useMark}})
 			}
-			n.mail[k].text = appendTold(n.mail[k].text, useMark,
-				told{c.key, c.asked2, c.passed2, c.plan, c.spread, c.first})
-			c.asked2, c.passed2 = 0, 0
+			m := &n.mail[len(n.mail)-1]
+			m.text = appendTold(m.text, told{c.key, c.toldAsked, c.toldPassed, c.plan, c.spread, c.first})
+			c.toldAsked, c.toldPassed = 0, 0
 			continue
 		}
 		rate, depth := n.refill(c)
 		want := c.wanted.rate(n.now, demandFade)
 		if c.grant = 1; want > 0 {
-			c.grant = min(1, max(leastGrant, (rate+(c.level-reserve*depth)/secs(wordRound))/want))
+			c.grant = min(1, max(leastGrant, (rate+(c.level-reserve*depth)/secs(interval))/want))
 		}
-		was, since := c.sent, n.now-c.sentAt
-		if c.grant < 1 { // look again until all know that it is over
+		if c.grant < 1 { // look again until it is over
 			c.news = true
 			keep = append(keep, i)
 		}
-		if since >= tellEvery && c.grant < 1 && (since > silence/2 || c.grant < was*grantStep) ||
-			since >= tellEvery && was < 1 && c.grant > was/grantStep {
+		since, again := n.now-c.sentAt, c.grant < 1 && n.now-c.sentAt > silence/2
+		if since >= tellEvery && (again || c.grant < c.sent*grantStep || c.sent < 1 && c.grant > c.sent/grantStep) {
 			c.sent, c.sentAt = c.grant, n.now
-			text := appendTold([]byte{grantMark}, grantMark,
-				told{c.key, c.grant, 0, c.plan, c.spread, c.first})
+			text := appendTold([]byte{grantMark}, told{c.key, c.grant, 0, c.plan, c.spread, c.first})
 			for k := range c.spread {
 				if peer := (c.first + k) % n.nodes; peer != n.me {
 					n.mail = append(n.mail, letter{peer, text})
@@ -800,12 +723,8 @@
 		if n.now-n.heardAt > silence || n.now-c.seen < 2*tellEvery {
 			return slice
 		}
-		for _, h := range c.peers {
-			if age := n.now - h.at; h.at > 0 && age < silence {
-				all += h.rate * math.Exp(-float64(max(0, age-2*tellEvery))/float64(demandFade))
-			}
-		}
-		if all == own { // nobody reports the customer
+		all += c.wanted.rate(n.now, demandFade)
+		if c.wanted.n < heardLeast { // nobody reports the customer
 			return 1
 		}
 	} else {
@@ -880,7 +799,7 @@
 				continue
 			}
 			if fair := float64(open+1) * s.weight / total; level == 0 &&
-				(float64(s.open) >= max(1, paceCap*fair) || tried(t, int32(i))) {
+				(float64(s.open) >= max(1, fair) || tried(t, int32(i))) {
 				continue
 			}
 			// A fresh server is passed over by chance, less as it warms.
@@ -1005,9 +924,8 @@
 			if s := &n.servers[x.server].by[t.band]; t.live && x.out {
 				usual := n.usualOf(&n.bands[t.band])
 				waits := float64(n.now-max(x.sent, s.heard, s.owed)) / usual
-				s.waited += waits
-				if waits > silentAlone {
-					s.waited = math.Inf(1)
+				if s.waited += waits; waits > silentAlone {
+					s.waited += silentAfter
 				}
 				if float64(n.now-x.sent) > silentAfter*usual {
 					s.lost++
@@ -1033,16 +951,11 @@
 		due := max(Time(spareAt*float64(b.contract)), Time(spareOver*n.usualOf(b)))
 		for k := range t.runs {
 			x := &t.runs[k]
-			if !x.out || t.closed || t.bound || t.out > 1 || n.now-x.sent < due ||
+			if !x.out || t.closed || t.bound || n.now-x.sent < due ||
 				n.now >= t.came+b.contract || !n.suspect(&n.servers[x.server].by[t.band]) || !n.further(t) {
 				continue
 			}
-			if n.set.Is("copies") {
-				t.spare = true
-				n.push(int32(i))
-			} else {
-				n.recall(t, k)
-			}
+			n.recall(t, k)
 		}
 	}
 	if n.now >= n.intervalAt {
@@ -1054,30 +967,23 @@
 func (n *Node) limit() {
 	span := secs(n.now - n.began)
 	lat := 0.0
-	if n.ended > 0 {
-		// Few ends say little alone: the last interval's latency stands for those that lack.
-		lack := 0.0
-		if n.lastLat > 0 {
-			lack = float64(max(0, enoughLat-n.ended))
-		}
-		lat = (n.latency + lack*n.lastLat) / (float64(n.ended) + lack)
+	if lack := float64(max(0, enoughLat-n.ended)); n.ended > 0 { // few ends say little alone: the last
+		lat = (n.latency + lack*n.lastLat) / (float64(n.ended) + lack) // latency stands for those that lack
 		n.lastLat = lat
 	} else if n.inWork > 0 {
 		lat = 1 // nothing came back at all: a contract time at least
 	}
 	// T takes enough ends, gathered over intervals if need be. The first few to come back are the short
 	// ones: a fresh or idle node that went by them would take every later latency for a jam.
-	n.lowEnded, n.lowLatency = n.lowEnded+n.ended, n.lowLatency+n.latency
 	if n.lowDone >= enough && n.lowDone >= n.inWork {
 		n.lows = keep(n.lows, n.took/float64(n.lowDone), recent)
-		n.lowsN = keep(n.lowsN, n.lowLatency/float64(n.lowEnded), recent)
-		n.took, n.lowDone, n.lowEnded, n.lowLatency = 0, 0, 0, 0
+		n.took, n.lowDone = 0, 0
 	}
 	n.rates = keep(n.rates, float64(n.completed)/span, bestOver)
 	admitted := float64(n.admitted) / span
 	if len(n.lows) > 0 {
 		n.scale = slices.Min(n.lows) // T
-		least := min(max(slices.Min(n.lowsN), lowShare), 1/(1+latSpan))
+		least := min(max(n.scale/float64(n.contract), lowShare), 1/(1+latSpan))
 		best := slices.Max(n.rates)
 		x := [4]float64{n.pressing() / max(n.few(openLeast), n.canFinish(n.contract)), n.state[1],
 			(lat/least - 1) / latSpan, n.state[3]}
@@ -1085,7 +991,7 @@
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
 		n.quiet = x[2] < quietUnder
-		a := max(leastA, net(x)) * max(best*secs(Time(n.scale)), n.few(leastOpen))
+		a := max(leastA, policy.net(x)) * max(best*secs(Time(n.scale)), n.few(leastOpen))
 		if n.quiet { // as for a fresh node, and not below what was let in
 			a = max(a, n.few(fresh), admitted*secs(Time(n.scale)))
 		}
@@ -1109,24 +1015,11 @@
 	n.ageOut()
 }
 
-// net is the two-layer network's output for a state.
-func net(x [4]float64) float64 {
-	y := policy.out[4]
-	for j, w := range policy.hidden {
-		h := w[4]
-		for k, v := range x {
-			h += w[k] * v
-		}
-		y += policy.out[j] * max(0, h)
-	}
-	return y
-}
-
 // ageOut forgets customers that have long been idle, once their stores are surely full.
 func (n *Node) ageOut() {
 	for i := range n.customers {
 		c := &n.customers[i]
-		if !c.live || c.out > 0 || n.now-c.last < idleAfter {
+		if !c.live || c.news || c.out > 0 || n.now-c.last < idleAfter {
 			continue
 		}
 		if p := n.plans[c.plan]; p.rate <= 0 || c.level+p.rate*secs(n.now-c.filled) >= p.depth {
@@ -1136,37 +1029,6 @@
 	}
 }
 
-// tell writes the message to peers: customers with new use whose rate here is past half their even
-// slice. It goes out even when empty, so that silence means something.
-func (n *Node) tell() (out []byte, more bool) {
-	out = append(n.text[:0], rateMark)
-	for range len(n.customers) {
-		n.tellPos = (n.tellPos + 1) % len(n.customers)
-		c := &n.customers[n.tellPos]
-		if !c.live || !c.newUse || c.spread <= 1 {
-			continue
-		}
-		rate := c.asked.rate(n.now, demandFade)
-		if rate <= n.quotaRate(n.plans[c.plan])/float64(2*c.spread) {
-			continue
-		}
-		was := len(out)
-		out = appendTold(out, rateMark, told{key: c.key, figure: rate})
-		if len(out) > maxTell {
-			out = out[:was]
-			n.tellPos--
-			if n.tellPos < 0 {
-				n.tellPos = len(n.customers) - 1
-			}
-			more = true
-			break
-		}
-		c.newUse = false
-	}
-	n.text = out
-	return out, more
-}
-
 // usualOf is a band's usual completed latency, before any a quarter of the contract time.
 func (n *Node) usualOf(b *band) float64 {
 	if b.took.n < 1 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -147,12 +147,12 @@
 		}
 	}
 	for i := range peer.customers {
-		if peer.customers[i].peers[0].at == 0 {
+		if peer.customers[i].wanted.n == 0 {
 			t.Fatalf("customer %d was never named", i)
 		}
 	}
-	peer.Heard(0, []byte{rateMark, 0x80})
-	peer.Heard(9, []byte{rateMark})
+	peer.Heard(0, []byte{useMark, 0x80})
+	peer.Heard(9, []byte{useMark})
 	peer.Heard(0, []byte("other"))
 }
 
--- a/rules/types.go
+++ b/rules/types.go
@@ -249,7 +249,6 @@
 	closed   bool // the final answer has gone
 	queued   bool // waits for Next
 	bound    bool // a stream has begun
-	spare    bool // a spare copy is due
 	band     int
 	plan     int
 	customer int32
@@ -299,25 +298,23 @@
 	last      Time // last ticket
 	level     float64
 	filled    Time
-	asked     faded // units asked here, a decayed sum
-	passed    faded // units sent on here
-	newUse    bool
+	asked     faded   // units asked here, a decayed sum
+	passed    faded   // units sent on here
 	metered   float64 // units a second over all nodes
 	meterAt   Time
 	out       int
 	ceiling   float64
 	ceilingAt Time
-	peers     []heardRate
 
 	// Where not all nodes can hear all, see share.
-	wanted  faded   // at its home: units asked at all nodes
-	grant   float64 // the part of its tickets that may pass, as told by its home, or at its home
-	grantAt Time    // when that was told
-	sent    float64 // at its home: the grant last told to the others
-	sentAt  Time
-	news    bool    // waits for the next message
-	asked2  float64 // elsewhere: units asked and passed that its home does not know of
-	passed2 float64
+	wanted     faded   // at its home: units asked at all nodes
+	grant      float64 // the part of its tickets that may pass, as told by its home, or at its home
+	grantAt    Time    // when that was told
+	sent       float64 // at its home: the grant last told to the others
+	sentAt     Time
+	news       bool    // waits for the next message
+	toldAsked  float64 // elsewhere: units asked and passed that its home does not know of
+	toldPassed float64
 }
 
 // letter is a message that waits to be sent.
@@ -326,12 +323,6 @@
 	text []byte
 }
 
-// heardRate is what a peer last told of a customer.
-type heardRate struct {
-	rate float64
-	at   Time
-}
-
 // faded is a sum and a count that fade with time.
 type faded struct {
 	sum, n float64
@@ -367,10 +358,8 @@
 	beatAt  Time
 	wakeFor Time
 	tellAt  Time
-	tellPos int
 	wide    bool     // more nodes than can all hear each other
 	news    []int32  // customers to tell their home, or from their home, of
-	toldAt  Time     // last report
 	doubtAt Time     // next message of doubts
 	mail    []letter // messages that wait for Next
 	heardAt Time     // last message of any peer
@@ -378,28 +367,26 @@
 	watches bool
 
 	// The limit.
-	intervalAt        Time
-	began             Time
-	lambda            float64
-	tokens            float64
-	tokensAt          Time
-	quiet             bool
-	scale             float64 // T, lowest recent interval latency, in Time
-	admitted          int
-	completed         int
-	ended             int
-	latency           float64   // sum over ends of time over contract time
-	took              float64   // sum over completed of time
-	tails             []float64 // time over contract time of the interval's ends
-	lastLat           float64   // mean latency of the last interval
-	lowDone, lowEnded int       // ends gathered for T
-	lowLatency        float64
-	lows              []float64 // recent interval latencies, in Time
-	lowsN             []float64 // the same over contract time
-	rates             []float64 // recent completed rates
-	state             [4]float64
-	lastA             float64
-	noteDue           bool
+	intervalAt Time
+	began      Time
+	lambda     float64
+	tokens     float64
+	tokensAt   Time
+	quiet      bool
+	scale      float64 // T, lowest recent interval latency, in Time
+	admitted   int
+	completed  int
+	ended      int
+	latency    float64   // sum over ends of time over contract time
+	took       float64   // sum over completed of time
+	tails      []float64 // time over contract time of the interval's ends
+	lastLat    float64   // mean latency of the last interval
+	lowDone    int       // ends gathered for T
+	lows       []float64 // recent interval latencies, in Time
+	rates      []float64 // recent completed rates
+	state      [4]float64
+	lastA      float64
+	noteDue    bool
 }
 
 // mwc is a multiply-with-carry generator.
@@ -440,98 +427,145 @@
 	return float64(m.x) / (1 << 32)
 }
 
-// told is one customer in a message to peers: a mark for what the message is, then for each customer its
-// key and figures in hundredths. A rate is one figure; use is what was asked and passed (which may be below
-// 0), a grant the part that may pass, both with the customer's plan and set, which its receiver may not know.
+// message is one between peers, by its mark: use, what was asked and passed (which may be below 0) of
+// customers since the last; grants, the part of their tickets that may pass; or doubts of servers.
+type message struct {
+	mark   byte
+	told   []told
+	doubts []doubted
+}
+
+// told is one customer with its plan and set, which the receiver may not know.
 type told struct {
 	key                 uint64
-	figure              float64
-	passed              float64
+	figure, passed      float64
 	plan, spread, first int
 }
 
+// doubted is a server's band that a peer lets rest, and for how much longer.
+type doubted struct {
+	server uint32
+	band   int
+	rest   Time
+}
+
 const (
-	rateMark  = 0xC7
 	useMark   = 0xC8
 	grantMark = 0xC9
-	mostTold  = math.MaxUint32 // hundredths
+	doubtMark = 0xCA
+	mostTold  = math.MaxUint32
 )
 
-func appendTold(b []byte, mark byte, t told) []byte {
+func appendTold(b []byte, t told) []byte {
 	b = binary.AppendUvarint(b, t.key)
-	b = binary.AppendUvarint(b, uint64(min(max(0, t.figure*100+0.5), mostTold)))
-	if mark != rateMark {
-		b = binary.AppendVarint(b, int64(min(max(-mostTold, t.passed*100), mostTold)))
-		b = binary.AppendUvarint(b, uint64(t.plan))
-		b = binary.AppendUvarint(b, uint64(t.spread))
-		b = binary.AppendUvarint(b, uint64(t.first))
-	}
-	return b
+	b = binary.AppendUvarint(b, uint64(min(max(0, t.figure*100+0.5), mostTold))) // in hundredths
+	b = binary.AppendVarint(b, int64(min(max(-mostTold, t.passed*100), mostTold)))
+	b = binary.AppendUvarint(b, uint64(t.plan))
+	b = binary.AppendUvarint(b, uint64(t.spread))
+	return binary.AppendUvarint(b, uint64(t.first))
+}
+
+func appendDoubt(b []byte, d doubted) []byte {
+	b = binary.AppendUvarint(b, uint64(d.server))
+	b = binary.AppendUvarint(b, uint64(d.band))
+	return binary.AppendUvarint(b, uint64(d.rest))
 }
 
 // readTold reads a whole message or nothing of it.
-func readTold(b []byte) (mark byte, list []told, ok bool) {
-	if len(b) < 1 || b[0] < rateMark || b[0] > grantMark {
-		return 0, nil, false
+func readTold(b []byte) (m message, ok bool) {
+	if len(b) < 1 || b[0] < useMark || b[0] > doubtMark {
+		return m, false
 	}
-	mark, b, ok = b[0], b[1:], true
-	number := func() uint64 {
+	m.mark, b, ok = b[0], b[1:], true
+	number := func(most uint64) uint64 {
 		v, k := binary.Uvarint(b)
-		if k <= 0 {
-			ok = false
+		if k <= 0 || v > most {
+			ok, b = false, nil
 			return 0
 		}
 		b = b[k:]
 		return v
 	}
-	small := func() float64 {
-		v := number()
-		ok = ok && v <= mostTold
-		return float64(v)
-	}
 	for ok && len(b) > 0 {
-		t := told{key: number(), figure: small() / 100}
-		if mark != rateMark {
-			v := number() // zigzag, as AppendVarint writes it
-			passed := int64(v>>1) ^ -int64(v&1)
-			ok = ok && passed <= mostTold && passed >= -mostTold
-			t.passed = float64(passed) / 100
-			t.plan, t.spread, t.first = int(small()), int(small()), int(small())
+		if m.mark == doubtMark {
+			m.doubts = append(m.doubts, doubted{uint32(number(mostTold)), int(number(mostTold)), Time(number(mostTold))})
+			continue
 		}
-		list = append(list, t)
+		t := told{key: number(math.MaxUint64), figure: float64(number(mostTold)) / 100}
+		v := number(2*mostTold + 1) // zigzag, as AppendVarint writes it
+		t.passed = float64(int64(v>>1)^-int64(v&1)) / 100
+		t.plan, t.spread, t.first = int(number(mostTold)), int(number(mostTold)), int(number(mostTold))
+		m.told = append(m.told, t)
 	}
-	return mark, list, ok
+	return m, ok
 }
 
-// doubted is a server's band that a peer lets rest, and for how much longer.
-type doubted struct {
-	server uint32
-	band   int
-	rest   Time
+// Clock sets the time.
+func (n *Node) Clock(now Time) { n.now = now }
+
+func (s *appServer) usable() bool { return s.known && s.State == Ready }
+
+// known is the number of a customer, noted if it is new. A set that can't be is taken for what it can mean.
+func (n *Node) known(key uint64, plan, spread, first int) int32 {
+	i := n.customer.find(key)
+	if i < 0 {
+		i = n.customer.add(key)
+		if int(i) == len(n.customers) {
+			n.customers = append(n.customers, customer{})
+		}
+		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
+			ceilingAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1, sent: 1}
+	}
+	c := &n.customers[i]
+	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
+	return i
 }
 
-const doubtMark = 0xCA
+// Started notes that an answer has begun: the client owns the execution now.
+func (n *Node) Started(id uint32) {
+	if i := n.ticketOf.find(id); i >= 0 {
+		n.tickets[i].bound = true
+	}
+}
 
-func appendDoubt(b []byte, d doubted) []byte {
-	b = binary.AppendUvarint(b, uint64(d.server))
-	b = binary.AppendUvarint(b, uint64(d.band))
-	return binary.AppendUvarint(b, uint64(d.rest))
+// Lapsed notes that the client has gone.
+func (n *Node) Lapsed(id uint32) {
+	if i := n.ticketOf.find(id); i >= 0 {
+		n.shut(i)
+	}
+}
+
+// Probed notes the answer of a probe.
+func (n *Node) Probed(id uint32, o Outcome, load []float64) {
+	if i := n.serverOf.find(id); i >= 0 && o == OK {
+		for k := range n.servers[i].by {
+			n.servers[i].by[k].heard = n.now
+		}
+	}
+}
+
+// Elapsed notes that a wake came; the time is all it tells.
+func (n *Node) Elapsed() {}
+
+func (n *Node) inSet(node, first, spread int) bool { return (node-first+n.nodes)%n.nodes < spread }
+
+// network is a two-layer map: weights of hidden units over a state, bias last, and of the output.
+type network struct {
+	hidden [4][5]float64
+	out    [5]float64
 }
 
-// readDoubts reads a whole message or nothing of it.
-func readDoubts(b []byte) (list []doubted, ok bool) {
-	for b = b[1:]; len(b) > 0; {
-		var v [3]uint64
-		for i := range v {
-			x, k := binary.Uvarint(b)
-			if k <= 0 || x > math.MaxUint32 {
-				return nil, false
-			}
-			v[i], b = x, b[k:]
+// net is the two-layer network's output for a state.
+func (p network) net(x [4]float64) float64 {
+	y := p.out[4]
+	for j, w := range p.hidden {
+		h := w[4]
+		for k, v := range x {
+			h += w[k] * v
 		}
-		list = append(list, doubted{uint32(v[0]), int(v[1]), Time(v[2])})
+		y += p.out[j] * max(0, h)
 	}
-	return list, true
+	return y
 }
 
 // push queues a ticket for Next.
