--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,10 +8,10 @@
 // demand (part, inQuota). Past either a ticket is bounced at once. Beside the design stand six:
 //  1. weighted rotation with warm-up (pick, weigh)
 //  2. the cold budget (coldRoom)
-//  3. suspicion of failing or silent servers (judge, rest, beat)
-//  4. budgeted further executions and time-outs (further, decide)
-//  5. caps and ceilings (openCap, the soft caps of pick, ceilingRoom)
-//  6. one spare for an execution late at a suspected server (beat)
+//  3. suspicion of failing or silent servers, by band, own and told (judge, rest, beat, doubt)
+//  4. budgeted further executions, time-outs, calls back from suspected servers (further, decide, beat)
+//  5. caps and ceilings (openCap, the soft cap of pick, ceilingRoom)
+//  6. one home for a customer's bucket where not all nodes can hear all (report)
 package rules
 
 import (
@@ -26,15 +26,14 @@
 	swing      = 1.0    // roots of an even share on top of it
 	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
-	openQuiet  = 1.4    // times the least allowance while latency is quiet, and with the root of the nodes
-	openNodes  = 0.6    // so much more: over many nodes the chance swings of each even out
+	openQuiet  = 1.4    // times the least allowance while latency is quiet, and
+	openNodes  = 0.6    // times the root of the number of nodes, over which the swings of each even out
 	openLeast  = 1.1    // executions a ready server by all nodes that are let out in any case
 	lowShare   = 0.125  // of the contract time: a latency that is low enough whatever was seen
 	latSpan    = 4.0    // times the lowest recent latency on top of it, where normalised latency is 1
 	hopeless   = 1.0    // usual latencies that a ticket must have left
 	quietUnder = 0.2    // normalised latency under which the back end is quiet
 	leastA     = 0.3    // least a, as a share of the best recent
-	leastOpen  = 1.0    // executions a ready server by all nodes that a rests on, however little completes
 	enoughLat  = 10     // ends that an interval's latency rests on
 	fade       = 0.3    // of the features' moving averages, an interval
 	enough     = 30     // ends that a latency must rest on to count for T
@@ -47,10 +46,8 @@
 	silence     = 4 * interval  // without word of peers or meter
 	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
 	openWide    = 0.6           // of that where the bucket alone holds the cap, as what is out swings by chance
-	underUse    = 0.4           // of a quota
-	longWord    = 5 * silence   // where it doesn't, the meter's word holds
+	underUse    = 0.6           // of a quota
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
-	leastPart   = 0.2           // of the even slice
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
@@ -92,7 +89,8 @@
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
 	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
-		beatAt: now, lastLat: lowShare, doubtAt: now + tellEvery, tokensAt: now, quiet: true, heardAt: now - silence,
+		beatAt: now, lastLat: lowShare, doubtAt: now + tellEvery, tokensAt: now, quiet: true,
+		heardAt:  now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
@@ -109,8 +107,6 @@
 	return n
 }
 
-// ---- Bookkeeping: what is known.
-
 // Roster takes in a message of the server roster.
 func (n *Node) Roster(kind RosterKind, list []Listing) {
 	if kind == Missed {
@@ -129,8 +125,8 @@
 		if i < 0 {
 			i = n.serverOf.add(l.Server)
 			// Nodes that start alike must not all begin at the same servers.
-			n.servers = append(n.servers, appServer{Listing: l, by: make([]standing, len(n.bands)), sentNow: n.chance.unit(),
-				turn: (n.chance.unit() - 0.5) * l.Weight * float64(max(len(list), n.ready))})
+			n.servers = append(n.servers, appServer{Listing: l, by: make([]standing, len(n.bands)),
+				sentNow: n.chance.unit(), turn: (n.chance.unit() - 0.5) * l.Weight * float64(max(len(list), n.ready))})
 		}
 		s := &n.servers[i]
 		if s.Started != l.Started { // a new process: what the old one did says nothing
@@ -197,8 +193,8 @@
 		seen = Moot
 	}
 	n.judge(s, t.band, seen, r.Took)
-	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b)                   // see pressing
-	if r.Outcome == OK || !lone && !lost && seen != Moot && seen != Withdrawn && seen != Failed { // an error tells nothing of the queue
+	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
+	if seen == OK || !lone && !lost && seen != Moot && seen != Withdrawn && seen != Failed {
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
@@ -221,6 +217,9 @@
 	}
 	if r.Use > 0 {
 		c.meterAt, c.metered = n.now, float64(r.Use-1)/100*n.quotaRate(n.plans[c.plan])
+		if p := n.plans[c.plan]; p.rate > 0 && p.depth < t.guess*float64(c.spread) { // charged by older word
+			c.level += t.guess/t.share - t.guess/n.thinPart(c)
+		}
 	}
 	if r.Settled {
 		n.shut(i)
@@ -269,10 +268,9 @@
 	}
 }
 
-// doubt takes in what a peer suspects. A node of many sees each server seldom: alone it would spend one
-// execution on each that fails, as often as all the others do. What it saw answer lately it goes on using.
-// It covers dead servers that the roster still names; it could harm where one node's link is cut and its
-// messages get through: then servers rest until its word runs out.
+// doubt takes in what a peer suspects. Of many nodes each sees a server seldom and would spend one execution
+// on each that fails. What it saw answer lately it goes on using. It covers dead servers still listed; it
+// could harm where one node's links alone are cut: servers then rest until its word runs out.
 func (n *Node) doubt(list []doubted) {
 	for _, d := range list {
 		i := n.serverOf.find(d.server)
@@ -311,16 +309,11 @@
 // Heard takes in a peer's message. One that is malformed in any place is passed over whole, and so is what
 // comes from outside a customer's set.
 func (n *Node) Heard(from int, b []byte) {
-	m, ok := readTold(b)
+	m, ok := readTold(b, len(n.plans), n.nodes)
 	if !ok || from < 0 || from >= n.nodes || from == n.me {
 		return
 	}
 	n.doubt(m.doubts)
-	for _, t := range m.told {
-		if t.plan >= len(n.plans) || t.spread < 1 || t.spread > n.nodes || t.first >= n.nodes {
-			return
-		}
-	}
 	n.heardAt = n.now
 	for _, t := range m.told {
 		if !n.inSet(n.me, t.first, t.spread) || !n.inSet(from, t.first, t.spread) {
@@ -358,21 +351,6 @@
 	}
 }
 
-// shut closes a ticket and calls back what is still out for it.
-func (n *Node) shut(i int32) {
-	t := &n.tickets[i]
-	if t.closed {
-		return
-	}
-	t.closed = true
-	for k := range t.runs {
-		n.recall(t, k)
-	}
-	if t.out == 0 {
-		n.free(i)
-	}
-}
-
 func (n *Node) recall(t *ticket, k int) {
 	if x := &t.runs[k]; x.out && !x.called && !t.bound && n.set.Is("withdraw") {
 		x.called = true
@@ -380,8 +358,6 @@
 	}
 }
 
-// ---- Deciding.
-
 // Next is the next decision, or false when there is none for now.
 func (n *Node) Next() (Decision, bool) {
 	if n.now >= n.beatAt {
@@ -446,8 +422,7 @@
 	if t.closed || t.bound || t.out > 0 {
 		return Decision{}, false
 	}
-	ok := left > 0
-	var advice Time
+	ok, advice := left > 0, Time(0)
 	if first := len(t.runs) == 0; ok && first {
 		ok, advice = n.admit(t)
 	} else if ok {
@@ -522,13 +497,10 @@
 	} else {
 		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
 		n.tokensAt = n.now
-		if n.tokens < 1 {
+		if n.tokens < 1 || n.pressing() >= n.openCap() {
 			return false, 0
 		}
 	}
-	if n.lambda > 0 && n.pressing() >= n.openCap() {
-		return false, 0
-	}
 	c := &n.customers[t.customer]
 	if ok, advice := n.inQuota(c, t); !ok {
 		return false, advice
@@ -543,11 +515,9 @@
 	return max(1, share+swing*math.Sqrt(share))
 }
 
-// canFinish is how many executions this node saw completed, of late, in a contract time. What is out
-// over it is the wait that a ticket let in now faces, and shows at once what completed latencies show
-// only when the wait is over. The cap on it guards against a back end that fills within an interval,
-// by a burst, a slowdown or a crowd of repeats. It could harm after a lull, when little was asked
-// for and so little completed: openLeast lets a node grow from there.
+// canFinish is how many executions this node saw completed, of late, in a span. What is out over it is the
+// wait that a ticket let in now faces. The cap on it guards against a back end that fills within an
+// interval: a burst, a slowdown, a crowd of repeats. It could harm after a lull: openLeast lets it grow.
 func (n *Node) canFinish(span Time) float64 {
 	best := 0.0
 	if len(n.rates) > 0 {
@@ -566,11 +536,10 @@
 	return max(least, openOver*n.canFinish(Time(max(n.scale, lowShare*float64(n.contract)))))
 }
 
-// pressing is what is out at servers in good standing: the in-flight that tells of the back end's
-// queue. What hangs on a suspected server waits for nothing that the others do, nor does an execution that
-// waited so long that its answer must be lost, as where a link swallows some. In a true jam the usual
-// latency rises too, and they count. When over two thirds are suspected the back end itself stands still:
-// then all counts, or a node would fill it up with what it can't see.
+// pressing is what is out at servers in good standing: the in-flight that tells of the back end's queue.
+// Left out is what hangs on a suspected server, or waited so long that its answer must be lost, as where a
+// link swallows some; in a true jam the usual latency rises too, and they count. When over two thirds are
+// suspected the back end itself stands still: then all counts, or a node would fill what it can't see.
 func (n *Node) pressing() float64 {
 	sound, all, suspects := 0, 0, 0
 	for i := range n.servers {
@@ -608,7 +577,7 @@
 	p := n.plans[c.plan]
 	t.share = n.part(c)
 	if t.share == 1 && c.spread > 1 && n.wide {
-		if n.home(c) != n.me && n.now-c.grantAt > silence { // its home says nothing: the store holds enough
+		if n.home(c) != n.me && n.now-c.grantAt > silence { // no word: enough is left
 			c.grant = 1
 		}
 		if c.grant < 1 && n.chance.unit() >= c.grant {
@@ -622,12 +591,8 @@
 	if rate <= 0 {
 		return true, 0
 	}
-	// Where an even slice of the store holds no ticket, a bucket of slices would turn away what a customer
-	// far under its quota sends. The meter's last word, though old, tells such a one: it passes.
-	if slice := 1 / float64(c.spread); n.set.Span("meter") > 0 && depth*slice < t.guess {
-		if t.share = slice; c.meterAt > 0 && n.now-c.meterAt < longWord {
-			t.share = min(1, slice/min(1, max(underUse, c.metered/rate)))
-		}
+	if n.set.Span("meter") > 0 && depth < t.guess*float64(c.spread) {
+		t.share = n.thinPart(c)
 	}
 	if short := min(t.guess, depth) - c.level; short > 0 {
 		return false, Time(short / rate * float64(Second))
@@ -635,6 +600,12 @@
 	return true, 0
 }
 
+// thinPart is the part where an even slice of the store holds no ticket: the slice over the use last
+// metered, however old, as a bucket of slices would turn away what one far under its quota sends.
+func (n *Node) thinPart(c *customer) float64 {
+	return 1 / (float64(c.spread) * min(1, max(underUse, c.metered/n.quotaRate(n.plans[c.plan]))))
+}
+
 // refill brings a customer's bucket up to date. A cap alone lets every node keep one out for the customer;
 // where it comes in by more nodes than the cap, a bucket by Little's law holds their sum.
 func (n *Node) refill(c *customer) (rate, depth float64) {
@@ -650,12 +621,12 @@
 	return rate, depth
 }
 
-// report writes the letters where not all nodes can hear all. One node of a customer's set is its home:
-// the others tell it what was asked and passed, at most once each tellEvery, and it keeps the one bucket.
-// While that holds enough for what is asked until word gets round, the home is silent and all take part 1;
-// then it tells the set which part of the tickets may pass. It guards against a quota granted by each of many nodes, none of which
-// sees enough of the customer for a bucket of its own to hold one ticket. It could harm where a home is
-// down: the customer then passes freely until it is back.
+// report writes the letters to peers: what was asked here, of customers with a rate past half their even
+// slice, to all. Where not all nodes can hear all, one node of a customer's set is its home: the others
+// tell it what they pass on, and it keeps the one bucket. While that holds enough until word gets round the
+// home is silent and all take part 1; then it tells the set which part of the tickets may pass. It guards
+// against a quota granted by each of many nodes that see too little of a customer for buckets of their
+// own; it covers shifts between them. While a home is down its customers pass freely: there it could harm.
 func (n *Node) report() {
 	if !n.wide { // goes out even when empty, so that silence means something
 		n.mail = append(n.mail, letter{Everyone, []byte{useMark}})
@@ -736,7 +707,7 @@
 	if all+belief <= 0 {
 		return slice
 	}
-	return min(1, max((own+belief*slice)/(all+belief), slice*leastPart))
+	return min(1, (own+belief*slice)/(all+belief))
 }
 
 // quotaRate is a plan's quota in units a second; a cap on open executions is turned into one by
@@ -761,9 +732,9 @@
 	return c.ceiling >= t.guess
 }
 
-// further tells whether a ticket may have another execution: by its band, by the rules on copies and
-// by the budget, which guards against a storm of repeats when much fails at once, from any cause. It
-// could harm when a few servers fail outright under light load; the budget then holds a good reserve.
+// further tells whether a ticket may have another execution: by its band, by the rules on copies and by the
+// budget, which guards against a storm of repeats when much fails at once. It could harm when a few servers
+// fail outright under light load; the budget then holds a good reserve.
 func (n *Node) further(t *ticket) bool {
 	if len(t.runs) >= max(1, int(n.set.Num("executions"))) || n.extra < 1 {
 		return false
@@ -820,10 +791,6 @@
 	return -1
 }
 
-func tried(t *ticket, s int32) bool {
-	return slices.ContainsFunc(t.runs, func(x execution) bool { return x.server == s })
-}
-
 // mayHave keeps a referenced ticket that may have run inside its group.
 func (n *Node) mayHave(t *ticket, b *band, s *appServer) bool {
 	for _, x := range t.runs {
@@ -846,20 +813,6 @@
 	return w / p
 }
 
-func (n *Node) meanPace() float64 {
-	sum, k := 0.0, 0.0
-	for i := range n.servers {
-		if s := &n.servers[i]; s.usable() {
-			s.pace.fadeTo(n.now, paceFade)
-			sum, k = sum+s.pace.sum, k+s.pace.n
-		}
-	}
-	if k < 1 || sum <= 0 {
-		return 1
-	}
-	return sum / k
-}
-
 // suspect tells whether a server is out of the rotation; past its rest it gets one trial at a time.
 func (n *Node) suspect(at *standing) bool {
 	return n.now < at.until || at.trying
@@ -875,10 +828,9 @@
 }
 
 // coldRoom keeps the cold budget alone: of multiple x present capacity x span this node's share, in
-// executions, measured by what warm servers complete for this node; and few open at once, which
-// bounds the push even when nothing was seen yet. A share below one execution is a rate: what counts as
-// sent already starts at a chance part of one (sentNow), so that the many nodes that hear of a start
-// together send their first ones spread over the time in which all may.
+// executions, measured by what warm servers complete here; and few open at once. A share below one is a
+// rate: what counts as sent starts at a chance part of one (sentNow), so that the many nodes that hear of a
+// start together spread their first ones over the time in which all may send one.
 func (n *Node) coldRoom(s *appServer) bool {
 	share := n.coldShare(s)
 	if share >= 1 {
@@ -905,12 +857,10 @@
 }
 
 // beat looks over what is open. A server is silent when all that is out there has together waited for so
-// many usual latencies, with nothing coming back, that chance hardly explains it; it rests, then gets a
-// trial. This guards against servers that stand still or hang without an error and against cut links.
-// One long execution alone is given much more time than several. It could harm where works differ far
-// more than usual; the others then take the server's turn meanwhile. Executions late at a server under
-// suspicion get a spare where copies are allowed, else are called back and sent again once ended.
-// Spares for all that is late were tried: under load they cost more than they save.
+// many usual latencies, or one alone for many, with nothing coming back, that chance hardly explains it; it
+// rests, then gets a trial. This guards against servers that stand still or hang without an error and
+// against cut links. It could harm where works differ far more than usual; others then take its turn.
+// An execution late at a suspected server is called back, and the ticket sent again once that has ended.
 func (n *Node) beat() {
 	n.beatAt = n.now + max(n.tick, n.contract/beats)
 	for i := range n.servers {
@@ -991,7 +941,7 @@
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
 		n.quiet = x[2] < quietUnder
-		a := max(leastA, policy.net(x)) * max(best*secs(Time(n.scale)), n.few(leastOpen))
+		a := max(leastA, policy.net(x)) * max(best*secs(Time(n.scale)), n.few(openLeast))
 		if n.quiet { // as for a fresh node, and not below what was let in
 			a = max(a, n.few(fresh), admitted*secs(Time(n.scale)))
 		}
--- a/rules/types.go
+++ b/rules/types.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -472,7 +473,7 @@
 }
 
 // readTold reads a whole message or nothing of it.
-func readTold(b []byte) (m message, ok bool) {
+func readTold(b []byte, plans, nodes int) (m message, ok bool) {
 	if len(b) < 1 || b[0] < useMark || b[0] > doubtMark {
 		return m, false
 	}
@@ -488,13 +489,15 @@
 	}
 	for ok && len(b) > 0 {
 		if m.mark == doubtMark {
-			m.doubts = append(m.doubts, doubted{uint32(number(mostTold)), int(number(mostTold)), Time(number(mostTold))})
+			d := doubted{uint32(number(mostTold)), int(number(mostTold)), Time(number(mostTold))}
+			m.doubts = append(m.doubts, d)
 			continue
 		}
 		t := told{key: number(math.MaxUint64), figure: float64(number(mostTold)) / 100}
 		v := number(2*mostTold + 1) // zigzag, as AppendVarint writes it
 		t.passed = float64(int64(v>>1)^-int64(v&1)) / 100
 		t.plan, t.spread, t.first = int(number(mostTold)), int(number(mostTold)), int(number(mostTold))
+		ok = ok && t.plan < plans && t.spread >= 1 && t.spread <= nodes && t.first < nodes
 		m.told = append(m.told, t)
 	}
 	return m, ok
@@ -514,7 +517,8 @@
 			n.customers = append(n.customers, customer{})
 		}
 		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1, sent: 1}
+			ceilingAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1, sent: 1,
+			metered: n.quotaRate(n.plans[plan])}
 	}
 	c := &n.customers[i]
 	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
@@ -568,6 +572,40 @@
 	return y
 }
 
+// meanPace is the mean pace of the usable servers.
+func (n *Node) meanPace() float64 {
+	sum, k := 0.0, 0.0
+	for i := range n.servers {
+		if s := &n.servers[i]; s.usable() {
+			s.pace.fadeTo(n.now, paceFade)
+			sum, k = sum+s.pace.sum, k+s.pace.n
+		}
+	}
+	if k < 1 || sum <= 0 {
+		return 1
+	}
+	return sum / k
+}
+
+func tried(t *ticket, s int32) bool {
+	return slices.ContainsFunc(t.runs, func(x execution) bool { return x.server == s })
+}
+
+// shut closes a ticket and calls back what is still out for it.
+func (n *Node) shut(i int32) {
+	t := &n.tickets[i]
+	if t.closed {
+		return
+	}
+	t.closed = true
+	for k := range t.runs {
+		n.recall(t, k)
+	}
+	if t.out == 0 {
+		n.free(i)
+	}
+}
+
 // push queues a ticket for Next.
 func (n *Node) push(i int32) {
 	if t := &n.tickets[i]; !t.queued {
