A restricted capped plan is passed by a part of its nodes in turns, one out each

Cause: tickets thinned by chance swing like any chance stream, so that a tenth to a half of what passed for the busiest customers found the cap full. With a part of the nodes at a time, each with one out, what is out varies less. Covers capped plans only, while their home grants less than all. It could harm a customer that comes in by one node.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -45,18 +45,19 @@
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
 	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
-	openWide    = 0.6           // of that where the bucket alone holds the cap, as what is out swings by chance
+	openWide    = 0.5           // of that where the bucket alone holds the cap, as what is out swings by chance
 	underUse    = 0.6           // of a quota
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
-	leastGrant = 0.01 // of a customer's tickets
-	reserve    = 0.5  // of a store, kept for what passes until word gets round
-	grantStep  = 0.5  // a grant that falls, or rises, so far is told at once
-	heardLeast = 0.1  // of a faded count of messages
-	mostEntry  = 40   // bytes of a customer in a message
+	turnEvery  = 2 * interval // a node of a set keeps its slot
+	leastGrant = 0.01         // of a customer's tickets
+	reserve    = 0.5          // of a store, kept for what passes until word gets round
+	grantStep  = 0.5          // a grant that falls, or rises, so far is told at once
+	heardLeast = 0.1          // of a faded count of messages
+	mostEntry  = 40           // bytes of a customer in a message
 
 	paceFade    = 5 * interval // memory of a server's pace
 	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
@@ -158,9 +159,7 @@
 	c := &n.customers[t.customer]
 	c.last = n.now
 	c.asked.add(a.Units, n.now, demandFade)
-	if !n.wide {
-		n.use(t.customer, a.Units, 0)
-	}
+	n.use(false, t.customer, a.Units, 0)
 	n.push(i)
 }
 
@@ -210,9 +209,7 @@
 		b.took.add(float64(r.Took), n.now, paceFade)
 		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
 			c.level -= (r.Units - t.guess) / t.share
-			if n.wide {
-				n.use(t.customer, 0, r.Units-t.guess)
-			}
+			n.use(true, t.customer, 0, r.Units-t.guess)
 		}
 	}
 	if r.Use > 0 {
@@ -324,7 +321,7 @@
 		case m.mark == useMark && n.wide && n.home(c) == n.me:
 			c.last = n.now
 			c.level -= t.passed
-			n.use(i, t.figure, t.passed)
+			n.use(true, i, t.figure, t.passed)
 		case m.mark == useMark && !n.wide:
 			c.wanted.add(t.figure, n.now, demandFade)
 		case m.mark == grantMark && n.home(c) == from:
@@ -333,11 +330,11 @@
 	}
 }
 
-// use notes what is to be told of a customer's use: to all; where not all nodes can hear all, to its home,
-// or, at its home, to the others.
-func (n *Node) use(i int32, asked, passed float64) {
+// use notes what is to be told of a customer's use: what was asked, to all, or, where not all nodes can
+// hear all (wide), what was passed on, to its home, and there what its set must hear.
+func (n *Node) use(wide bool, i int32, asked, passed float64) {
 	c := &n.customers[i]
-	if c.spread <= 1 || !n.set.Is("peers") {
+	if wide != n.wide || c.spread <= 1 || !n.set.Is("peers") {
 		return
 	}
 	if n.wide && n.home(c) == n.me {
@@ -461,7 +458,7 @@
 	return Decision{Verb: Send, Ticket: t.id, Server: srv.Server, Span: left}, true
 }
 
-// margin keeps final answers clear of the outer limit: an end is seen a tick late, and so answered.
+// margin keeps final answers clear of the outer limit: an end is seen and answered a tick late each.
 func (n *Node) margin() Time { return 2*n.tick + n.contract/100 }
 
 // giveUp answers a ticket at once: bounced where trying again is harmless, else broken off.
@@ -485,8 +482,8 @@
 
 // admit is the ordinary path: λ first, then the customer's bucket, then a ceiling.
 func (n *Node) admit(t *ticket) (bool, Time) {
-	// A ticket whose client leaves before an execution usually ends would only make waste and be asked for
-	// again. Guards against crowds of impatient repeats; could harm a client that is often served quicker.
+	// A ticket whose client leaves before an execution usually ends would be waste, and asked for again.
+	// Guards against crowds of the impatient; could harm a client that is often served quicker.
 	if left := float64(t.until - n.now); left < hopeless*n.usualOf(&n.bands[t.band]) {
 		return false, 0
 	}
@@ -508,8 +505,7 @@
 	return n.ceilingRoom(c, t), 0
 }
 
-// few is this node's even share of so many executions a ready server.
-// A small share is exceeded by chance the more often, so it comes with a swing of its root on top.
+// few is this node's even share of so many executions a ready server, and a chance swing on top.
 func (n *Node) few(each float64) float64 {
 	share := each * float64(n.ready) / float64(n.nodes)
 	return max(1, share+swing*math.Sqrt(share))
@@ -564,9 +560,7 @@
 	c := &n.customers[t.customer]
 	n.tokens--
 	c.level = max(c.level, 0) - t.guess/t.share
-	if n.wide {
-		n.use(t.customer, t.guess/max(leastGrant, c.grant), t.guess)
-	}
+	n.use(true, t.customer, t.guess/max(leastGrant, c.grant), t.guess)
 	c.passed.add(t.guess, n.now, demandFade)
 	c.ceiling -= t.guess
 }
@@ -580,7 +574,13 @@
 		if n.home(c) != n.me && n.now-c.grantAt > silence { // no word: enough is left
 			c.grant = 1
 		}
-		if c.grant < 1 && n.chance.unit() >= c.grant {
+		// A cap on what is out is held better by a part of the nodes, in turns, with one out each.
+		turn := (n.me - c.first + n.nodes + int(n.now/turnEvery)*c.spread/3) % n.nodes % c.spread
+		held := c.out > 0 || float64(turn) >= c.grant*float64(c.spread)
+		if p.rate > 0 {
+			held = n.chance.unit() >= c.grant
+		}
+		if c.grant < 1 && held {
 			return false, Time(n.usualOf(&n.bands[t.band]))
 		}
 	}
@@ -701,8 +701,7 @@
 	} else {
 		return slice
 	}
-	// Some belief in the even slice: metered use follows what was let in, so a part by use alone would
-	// feed on itself, and peers tell late and not of small rates.
+	// Metered use follows what was let in and would feed on itself; peers tell late: some belief in the slice.
 	belief := sliceBelief * n.quotaRate(n.plans[c.plan])
 	if all+belief <= 0 {
 		return slice
