--- a/rules/rules.go
+++ b/rules/rules.go
@@ -826,10 +826,9 @@
 	return from + (1-from)*max(0, float64(n.now-s.Started)/float64(span))
 }
 
-// coldRoom keeps the cold budget alone: of multiple x present capacity x span this node's share, in
-// executions, measured by what warm servers complete here; and few open at once. A share below one is a
-// rate: what counts as sent starts at a chance part of one (sentNow), so that the many nodes that hear of a
-// start together spread their first ones over the time in which all may send one.
+// coldRoom keeps the cold budget alone: this node's share, in executions, by what a warm server lately
+// completed here; and few open at once. A share below one is a rate: what counts as sent starts at a chance
+// part of one, so that many nodes that hear of a start together spread their first ones.
 func (n *Node) coldRoom(s *appServer) bool {
 	share := n.coldShare(s)
 	if share >= 1 {
@@ -841,10 +840,7 @@
 
 // coldBudget is how many executions a cold server may get from this node in a span.
 func (n *Node) coldBudget(s *appServer) float64 {
-	warm := 1 / (float64(n.nodes) * secs(n.contract)) // at least, so that an all cold fleet warms
-	if len(n.rates) > 0 && n.ready > 0 {
-		warm = max(warm, n.rates[len(n.rates)-1]/float64(n.ready))
-	}
+	warm := max(n.each, 1/(float64(n.nodes)*secs(n.contract))) // so that an all cold fleet warms
 	return coldMargin * n.set.Num("fall.multiple") * n.coldShare(s) * warm * secs(n.set.Span("fall.span"))
 }
 
@@ -929,6 +925,12 @@
 		n.took, n.lowDone = 0, 0
 	}
 	n.rates = keep(n.rates, float64(n.completed)/span, bestOver)
+	// What a warm server lately completed at best: by what it does now a fleet that is mostly cold stays so.
+	each := 0.0
+	for _, r := range n.rates[max(0, len(n.rates)-4):] {
+		each += r / 4 / max(1, n.warmth())
+	}
+	n.each = max(n.each*(1-fade/10), each)
 	admitted := float64(n.admitted) / span
 	if len(n.lows) > 0 {
 		n.scale = slices.Min(n.lows) // T
--- a/rules/types.go
+++ b/rules/types.go
@@ -385,6 +385,7 @@
 	lowDone    int       // ends gathered for T
 	lows       []float64 // recent interval latencies, in Time
 	rates      []float64 // recent completed rates
+	each       float64   // completed a second by a warm server for this node
 	state      [4]float64
 	lastA      float64
 	noteDue    bool
@@ -572,6 +573,16 @@
 	return y
 }
 
+// warmth is how many warm servers the usable ones are worth.
+func (n *Node) warmth() (sum float64) {
+	for i := range n.servers {
+		if s := &n.servers[i]; s.usable() {
+			sum += n.coldShare(s)
+		}
+	}
+	return sum
+}
+
 // meanPace is the mean pace of the usable servers.
 func (n *Node) meanPace() float64 {
 	sum, k := 0.0, 0.0
