--- a/rules/rules.go
+++ b/rules/rules.go
@@ -64,7 +64,6 @@
 	missesMost  = 2            // errors or time-outs in a row before suspicion
 	shutMost    = 8            // longest suspicion, in contract times
 	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
-	silentAlone = 7.0          // that one alone waited
 	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
 
 	extraEach = 0.2  // further executions earned by a first one
@@ -852,7 +851,7 @@
 }
 
 // beat looks over what is open. A server is silent when all that is out there has together waited for so
-// many usual latencies, or one alone for many, with nothing coming back, that chance hardly explains it; it
+// many usual latencies with nothing coming back, that chance hardly explains it; it
 // rests, then gets a trial. This guards against servers that stand still or hang without an error and
 // against cut links. It could harm where works differ far more than usual; others then take its turn.
 // An execution late at a suspected server is called back, and the ticket sent again once that has ended.
@@ -868,10 +867,7 @@
 		for _, x := range t.runs {
 			if s := &n.servers[x.server].by[t.band]; t.live && x.out {
 				usual := n.usualOf(&n.bands[t.band])
-				waits := float64(n.now-max(x.sent, s.heard, s.owed)) / usual
-				if s.waited += waits; waits > silentAlone {
-					s.waited += silentAfter
-				}
+				s.waited += float64(n.now-max(x.sent, s.heard, s.owed)) / usual
 				if float64(n.now-x.sent) > silentAfter*usual {
 					s.lost++
 				}
