No more letters at once than peers take in; all tell all up to three quarters of that

Cause: with one form of message a node of a small fleet sent as many letters at once as its customers needed, past what peers take in, and the home took over from ten nodes on, where telling all still fits. The rest now waits for the next third of a second; what was asked adds up meanwhile, so nothing is lost. It could harm where customers are very many: each is then named late.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -56,6 +56,7 @@
 	leastGrant = 0.01         // of a customer's tickets
 	reserve    = 0.5          // of a store, kept for what passes until word gets round
 	grantStep  = 0.5          // a grant that falls, or rises, so far is told at once
+	wideAt     = 0.75         // of what a peer takes in, when all tell all: past it not all can hear all
 	heardLeast = 0.1          // of a faded count of messages
 	mostEntry  = 40           // bytes of a customer in a message
 
@@ -94,7 +95,7 @@
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
-	n.wide = float64(n.nodes-1) > tellShare*set.Num("peers.take")*secs(tellEvery)
+	n.wide = float64(n.nodes-1) > wideAt*set.Num("peers.take")*secs(tellEvery)
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
 	n.bands, n.plans = readBands(set), readPlans(set)
 	n.contract = n.bands[0].contract
@@ -282,18 +283,17 @@
 	}
 }
 
-// doubts names the servers that this node itself found at fault and that rest.
+// doubts names the servers that this node found at fault and that rest; all nodes fill a quarter of each.
 func (n *Node) doubts() []byte {
-	text := append(n.text[:0], doubtMark)
+	n.text = append(n.text[:0], doubtMark)
 	for i := range n.servers {
 		for k := range n.servers[i].by {
-			if at := &n.servers[i].by[k]; n.now < at.until && !at.told && len(text)+mostEntry < maxTell {
-				text = appendDoubt(text, doubted{n.servers[i].Server, k, at.until - n.now})
+			if at := &n.servers[i].by[k]; n.now < at.until && !at.told && len(n.text)+mostEntry < maxTell {
+				n.text = appendDoubt(n.text, doubted{n.servers[i].Server, k, at.until - n.now})
 			}
 		}
 	}
-	n.text = text
-	return text
+	return n.text
 }
 
 // rest takes a server out of a band's rotation, each time for twice as long.
@@ -388,7 +388,6 @@
 		n.report()
 	}
 	if n.now >= n.doubtAt && n.set.Is("peers") && n.nodes > 1 {
-		// all nodes together send each as much as a quarter of what it takes in
 		n.doubtAt = n.now + max(tellEvery, Time(float64(interval)*float64(n.nodes)/
 			max(0.01, tellShare/2*n.set.Num("peers.take"))))
 		if text := n.doubts(); len(text) > 1 {
@@ -631,7 +630,12 @@
 		n.mail = append(n.mail, letter{Everyone, []byte{useMark}})
 	}
 	keep := n.news[:0]
-	for _, i := range n.news {
+	most := len(n.mail) + int(tellShare*n.set.Num("peers.take")*secs(tellEvery)/float64(n.nodes-1))
+	for k, i := range n.news {
+		if !n.wide && len(n.mail) > most { // the rest waits: peers take in no more
+			keep = append(keep, n.news[k:]...)
+			break
+		}
 		c := &n.customers[i]
 		c.news = false
 		if !n.wide && c.asked.rate(n.now, demandFade) <= n.quotaRate(n.plans[c.plan])/float64(2*c.spread) {
