--- /dev/null
+++ b/cmd/cherrygap/config.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"cherrygap/internal/protocol"
+	"cherrygap/internal/settings"
+	"cherrygap/internal/transport"
+)
+
+// config is what the node is told at its start.
+type config struct {
+	Name      string           `json:"name"`
+	Listen    string           `json:"listen"`
+	Discovery string           `json:"discovery"`
+	Seed      string           `json:"seed"`
+	Peer      netip.AddrPort   `json:"peer_listen"`
+	Peers     []netip.AddrPort `json:"peers"`
+	PeersAll  netip.AddrPort   `json:"peers_all"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	seed  uint64
+	known protocol.List
+	set   map[string]string
+}
+
+// readConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY hold over it.
+func readConfig() (*config, error) {
+	path := os.Getenv("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := parseConfig(raw, os.Getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(raw []byte, env func(string) string) (*config, error) {
+	c := &config{}
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, err
+	}
+	for name, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen,
+		"GW_DISCOVERY": &c.Discovery} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	var err error
+	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if c.Limits.Cores <= 0 || c.Limits.MemoryMB <= 0 || c.Limits.Sockets <= 0 {
+		return nil, errors.New("limits: cores, memory_mb and sockets must be above 0")
+	}
+	if len(c.Known) > 0 && string(c.Known) != "null" {
+		if c.known, err = protocol.ParseList(c.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if c.set, err = settings.FromJSON(c.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+// limits are the node's own, for its sockets and buffers.
+func (c *config) limits() transport.Limits {
+	span := func(name string) time.Duration { // in tenths of a millisecond
+		v, _ := strconv.ParseInt(c.set[name], 10, 64)
+		return time.Duration(v) * 100 * time.Microsecond
+	}
+	l := transport.Limits{Sockets: c.Limits.Sockets, MemoryMB: c.Limits.MemoryMB, Idle: span("idle"),
+		Connect: span("connect")}
+	if l.Connect <= 0 {
+		l.Connect = time.Second
+	}
+	return l
+}
--- /dev/null
+++ b/cmd/cherrygap/main.go
@@ -0,0 +1,100 @@
+// Command cherrygap is one real edge node: it takes tickets from clients, lets the decision module say what
+// happens with each, and carries that out on sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cherrygap/internal/protocol"
+	"cherrygap/internal/routing"
+	"cherrygap/internal/transport"
+)
+
+const (
+	acceptFor = 400 * time.Millisecond // after SIGTERM
+	heapPart  = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
+	gcPercent = 400                    // little lives, so that a roomy heap saves collections
+)
+
+func main() {
+	c, err := readConfig()
+	if err == nil {
+		err = run(c)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cherrygap:", err)
+		os.Exit(2)
+	}
+}
+
+// run wires the parts and stays until SIGTERM and the last answer.
+func run(c *config) error {
+	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
+	debug.SetMemoryLimit(int64(heapPart * float64(c.Limits.MemoryMB<<20)))
+	debug.SetGCPercent(gcPercent)
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("node", c.Name).Logger()
+	count := &transport.Counters{}
+	limits := c.limits()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+
+	asked := make(chan struct{}, 1)
+	cfg := routing.Config{Seed: c.seed, Settings: c.set,
+		Tell: func(int, []byte) { count.ToldFailed.Add(1) },
+		Watch: func() {
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+		},
+		Note: func(text []byte) { log.Info().Msg(string(text)) },
+	}
+	hear := func(func(int, []byte)) {}
+	if c.Peer.IsValid() {
+		mail, err := transport.OpenMail(c.Peer, protocol.NewPeers(c.Peers, c.PeersAll), &log, count)
+		if err != nil {
+			return err
+		}
+		cfg.Tell, hear = mail.Tell, mail.Hear
+	}
+	router := routing.New(cfg)
+	pool := transport.NewPool(limits, &log, count)
+	known := len(c.known.Targets) > 0
+	if known {
+		router.Listed(&c.known, true)
+	}
+	watch := &transport.Watch{Addr: c.Discovery, Rev: c.known.Rev, Whole: !known, Limits: limits, Log: &log,
+		Count: count, Missed: router.Missed, Listed: func(l *protocol.List) {
+			router.Listed(l, false)
+			pool.Keep(router.InService)
+		}}
+	if c.set["roster"] == "ask" {
+		watch.Asked = asked
+	}
+	front, err := transport.Listen(c.Listen, router, pool, limits, &log, count)
+	if err != nil {
+		return err
+	}
+	go watch.Run()
+	go hear(router.Heard)
+	router.Tick()
+	log.Info().Str("listen", c.Listen).Msg("started")
+	for s := range signals {
+		if s != syscall.SIGUSR1 {
+			break
+		}
+		log.Info().Object("counters", count).Msg("counters")
+	}
+	front.Drain(acceptFor)
+	log.Info().Object("counters", count).Msg("stopped")
+	return nil
+}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 
+	"cherrygap/internal/settings"
 	"cherrygap/internal/wire"
 	"cherrygap/rules"
 )
@@ -79,7 +80,7 @@
 		seed := c.U64()
 		text := c.Bytes(c.U32())
 		if c.Err() == nil {
-			set := settings(text)
+			set := settings.FromText(text)
 			d.guard(inst, func() { d.nodes[inst] = rules.New(seed, set, d.now) })
 			d.touch(inst)
 		}
--- /dev/null
+++ b/internal/routing/fleet.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"hash/fnv"
+	"net/netip"
+
+	"cherrygap/internal/protocol"
+	"cherrygap/rules"
+)
+
+// Server is an app server at one address.
+type Server struct {
+	Addr  netip.AddrPort
+	id    uint32
+	state protocol.State
+}
+
+// fleet maps app servers to the module's numbers.
+type fleet struct {
+	servers map[uint32]*Server
+	ids     map[string]uint32
+	taken   map[uint32]string
+	zones   map[string]uint8
+	models  map[string]uint16
+	list    []rules.Listing
+}
+
+func newFleet() fleet {
+	return fleet{servers: map[uint32]*Server{}, ids: map[string]uint32{}, taken: map[uint32]string{},
+		zones: map[string]uint8{}, models: map[string]uint16{}}
+}
+
+// id is a server's number: its uid hashed, so that nodes which write to each other of a server mean the
+// same one. Two uids that hash alike get numbers one after the other.
+func (f *fleet) id(uid string) uint32 {
+	if id, ok := f.ids[uid]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	h.Write([]byte(uid))
+	id := h.Sum32()
+	for _, used := f.taken[id]; used; _, used = f.taken[id] {
+		id++
+	}
+	f.ids[uid], f.taken[id] = id, uid
+	return id
+}
+
+// number is the number of a name, by order of first sight.
+func number[N uint8 | uint16](m map[string]N, name string) N {
+	n, ok := m[name]
+	if !ok {
+		n = N(len(m))
+		m[name] = n
+	}
+	return n
+}
+
+var states = [...]rules.State{protocol.InService: rules.Ready, protocol.Terminating: rules.Draining,
+	protocol.Terminated: rules.Gone}
+
+// take notes a message of discovery and turns it into the module's form.
+func (f *fleet) take(l *protocol.List) []rules.Listing {
+	if l.All {
+		for _, s := range f.servers {
+			s.state = protocol.Terminated
+		}
+	}
+	f.list = f.list[:0]
+	for _, t := range l.Targets {
+		id := f.id(t.UID)
+		s := f.servers[id]
+		if s == nil || t.Endpoint.IsValid() && s.Addr != t.Endpoint {
+			s = &Server{id: id, Addr: t.Endpoint}
+			f.servers[id] = s
+		}
+		s.state = t.State
+		f.list = append(f.list, rules.Listing{Server: id, Zone: number(f.zones, t.Zone),
+			Kind: number(f.models, t.Model), Cell: uint16(t.Cell), State: states[t.State], Weight: t.Weight,
+			Started: rules.Time(t.BootMs) * rules.Second / 1000})
+	}
+	return f.list
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,193 @@
+// Package routing is the facade of the decision module for network code, in blocking style: a ticket is
+// taken, picked for, and its executions are reported; a timer ticks. It drives one module under one lock,
+// maps names and addresses to the module's numbers and carries its decisions to those who wait for them.
+package routing
+
+import (
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"cherrygap/internal/protocol"
+	"cherrygap/rules"
+)
+
+const tenth = 100 * time.Microsecond // the module's unit of time
+
+// Config is what a Router needs to know.
+type Config struct {
+	Seed     uint64
+	Settings map[string]string
+
+	// What the module has done outside of tickets; called without the lock, one at a time each.
+	Tell  func(peer int, text []byte) // to one node, or to all (below 0)
+	Watch func()                      // ask discovery to go on telling
+	Note  func(text []byte)
+}
+
+// Router drives one module.
+type Router struct {
+	cfg          Config
+	bands, plans map[string]int
+	start        time.Time
+	base         rules.Time
+
+	mu      sync.Mutex
+	node    *rules.Node
+	tickets []*Ticket // by slot
+	free    []uint32
+	fleet   fleet
+	timer   *time.Timer
+	outbox  []letter // told once the lock is free
+	watch   bool
+	note    []byte
+	mail    sync.Mutex // keeps the outbox in order
+}
+
+type letter struct {
+	peer int
+	text []byte
+}
+
+// New makes a Router over a fresh module.
+func New(cfg Config) *Router {
+	now := time.Now()
+	r := &Router{cfg: cfg, start: now, base: rules.Time(now.UnixNano() / int64(tenth)),
+		bands: names(cfg.Settings, "band"), plans: names(cfg.Settings, "plan"), fleet: newFleet()}
+	r.node = rules.New(cfg.Seed, cfg.Settings, r.base)
+	r.timer = time.AfterFunc(time.Hour, r.Tick)
+	return r
+}
+
+// names maps a list's names to their numbers.
+func names(set map[string]string, list string) map[string]int {
+	out := map[string]int{}
+	n, _ := strconv.Atoi(set[list+".count"])
+	for i := range n {
+		out[set[list+"."+strconv.Itoa(i)+".name"]] = i
+	}
+	return out
+}
+
+// now is the module's clock: the system's at the start, steady from then on.
+func (r *Router) now() rules.Time { return r.base + rules.Time(time.Since(r.start)/tenth) }
+
+// enter takes the lock and sets the module's time; leave drains its decisions and frees the lock.
+func (r *Router) enter() {
+	r.mu.Lock()
+	r.node.Clock(r.now())
+}
+
+func (r *Router) leave() {
+	for d, ok := r.node.Next(); ok; d, ok = r.node.Next() {
+		switch d.Verb {
+		case rules.Send:
+			if t := r.ticket(d.Ticket); t != nil {
+				t.nth++
+				t.settle(Choice{Do: Execute, Nth: t.nth, Server: r.fleet.servers[d.Server],
+					Wait: time.Duration(d.Span) * tenth})
+			}
+		case rules.Bounce:
+			if t := r.ticket(d.Ticket); t != nil {
+				t.settle(Choice{Do: Bounce, Advice: time.Duration(d.Span) * tenth})
+			}
+		case rules.BreakOff:
+			if t := r.ticket(d.Ticket); t != nil {
+				t.settle(Choice{Do: BreakOff})
+			}
+		case rules.Withdraw:
+			if t := r.ticket(d.Ticket); t != nil && d.Nth == t.nth {
+				t.work.Withdraw(d.Nth)
+			}
+		case rules.Wake:
+			r.timer.Reset(time.Duration(d.Span) * tenth)
+		case rules.Tell:
+			r.outbox = append(r.outbox, letter{d.Peer, append([]byte(nil), d.Text...)})
+		case rules.Watch:
+			r.watch = true
+		case rules.Note:
+			r.note = append([]byte(nil), d.Text...)
+		default: // as where the module learns to do more than this node can
+			panic("routing: decision that the node can't carry out")
+		}
+	}
+	if len(r.outbox) == 0 && !r.watch && r.note == nil {
+		r.mu.Unlock()
+		return
+	}
+	r.mail.Lock()
+	defer r.mail.Unlock()
+	outbox, watch, note := r.outbox, r.watch, r.note
+	r.outbox, r.watch, r.note = nil, false, nil
+	r.mu.Unlock()
+	for _, l := range outbox {
+		r.cfg.Tell(l.peer, l.text)
+	}
+	if watch {
+		r.cfg.Watch()
+	}
+	if note != nil {
+		r.cfg.Note(note)
+	}
+}
+
+// Tick lets the module look at the time.
+func (r *Router) Tick() {
+	r.enter()
+	r.node.Elapsed()
+	r.leave()
+}
+
+// Heard takes in a peer's message.
+func (r *Router) Heard(from int, text []byte) {
+	r.enter()
+	r.node.Heard(from, text)
+	r.leave()
+}
+
+// Listed takes in what discovery told: everything as last seen, everything, or what changed.
+func (r *Router) Listed(l *protocol.List, old bool) {
+	kind := rules.Change
+	if old {
+		kind = rules.Cached
+	} else if l.All {
+		kind = rules.Whole
+	}
+	r.enter()
+	r.node.Roster(kind, r.fleet.take(l))
+	r.leave()
+}
+
+// Missed notes that a call to discovery failed.
+func (r *Router) Missed() {
+	r.enter()
+	r.node.Roster(rules.Missed, nil)
+	r.leave()
+}
+
+// Knows tells whether any app server was ever listed.
+func (r *Router) Knows() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.fleet.servers) > 0
+}
+
+// MayStart tells whether a server is still in service, as before an execution's first byte.
+func (r *Router) MayStart(s *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.servers[s.id] == s && s.state == protocol.InService
+}
+
+// InService tells whether a server in service has that address.
+func (r *Router) InService(addr netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.fleet.servers {
+		if s.Addr == addr && s.state == protocol.InService {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"maps"
+	"testing"
+)
+
+const testSettings = "services.count=1\nservices.0.slo=600000\nservices.0.semantics=idempotent\n" +
+	"tiers_of_service.count=1\ntiers_of_service.0.units_per_s=5\ntick=4000\nsome.new.key=7\n"
+
+func TestSettingsTurnIntoOwnNames(t *testing.T) {
+	set := FromText([]byte(testSettings + "registry_mode=subscribe\nfeedback.columns=rif,busy\nservices.x=1\n"))
+	for name, want := range map[string]string{"band.0.contract": "6000", "band.0.repeats": "replayable",
+		"plan.0.rate": "5", "tick": "40", "roster": "ask", "load.fields": "open,used", "band.count": "1"} {
+		if set[name] != want {
+			t.Errorf("%s: got %q, want %q", name, set[name], want)
+		}
+	}
+}
+
+func TestBothFormsReadAlike(t *testing.T) {
+	nested := `{"services":[{"slo":600000,"semantics":"idempotent"}],"tick":4000,"some":{"new":{"key":7}},
+		"tiers_of_service":[{"units_per_s":5}],"feedback":{"columns":["rif","busy"]},"limits":{"peers":true}}`
+	got, err := FromJSON([]byte(nested))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := FromText([]byte(testSettings + "feedback.columns=rif,busy\nlimits.peers=true\n"))
+	if !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if _, err := FromJSON([]byte(`[1]`)); err == nil {
+		t.Error("a list passed for settings")
+	}
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,221 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cherrygap/internal/protocol"
+	"cherrygap/internal/routing"
+)
+
+// client is one connection of a client. One goroutine reads it, so that a client's leaving is noticed while
+// its ticket waits; the other sees to the ticket.
+type client struct {
+	front   *Front
+	conn    *net.TCPConn
+	in, out ring
+	ticket  *routing.Ticket
+	work    worker
+	request protocol.Request
+	body    []byte
+	came    time.Time // when the request's first byte was read
+	began   time.Time
+	tickets int
+
+	todo   chan struct{} // a request is there
+	done   chan struct{} // it has been seen to
+	idle   atomic.Bool   // between requests: who sets it to false may close
+	idleAt atomic.Int64
+	ending sync.Once
+	why    reason
+}
+
+func newClient(f *Front, conn *net.TCPConn) *client {
+	size := f.limits.ring()
+	c := &client{front: f, conn: conn, in: newRing(conn, size), out: newRing(conn, size), began: time.Now(),
+		todo: make(chan struct{}, 1), done: make(chan struct{}, 1)}
+	conn.SetKeepAlive(false)
+	c.work = worker{pool: f.pool, router: f.router}
+	c.ticket = f.router.NewTicket(&c.work)
+	return c
+}
+
+// end closes the connection; the first reason stays.
+func (c *client) end(why reason) {
+	c.ending.Do(func() {
+		c.why = why
+		c.conn.Close()
+	})
+}
+
+// read takes in one request after another and hands them over.
+func (c *client) read() {
+	go c.serve()
+	for c.next() {
+	}
+	close(c.todo)
+	<-c.done // the last word of serve
+	c.ticket.Free()
+	c.front.gone(c)
+	logEnd(c.front.log, "client", c.conn.RemoteAddr().String(), c.why, c.began, c.tickets)
+}
+
+// next sees to one request, and tells whether there may be another.
+func (c *client) next() bool {
+	c.idleAt.Store(time.Now().UnixNano())
+	c.idle.Store(true)
+	err := c.in.Wait()
+	if !c.idle.CompareAndSwap(true, false) {
+		return false // closed meanwhile
+	}
+	if err != nil {
+		c.end(leaving(err, clientClosed))
+		return false
+	}
+	c.came = time.Now()
+	br := parsers.Get().(*bufio.Reader)
+	br.Reset(&c.in)
+	err = protocol.ReadRequest(br, c, &c.request, c.body)
+	c.in.done(br)
+	br.Reset(nil)
+	parsers.Put(br)
+	if cap(c.request.Body) > 0 {
+		c.body = c.request.Body
+	}
+	if err == nil && !c.request.Own() && !c.front.router.Known(&c.request) {
+		err = &protocol.Bad{Status: http.StatusNotFound, Why: "unknown band or plan"}
+	}
+	if err != nil {
+		return c.refuse(err)
+	}
+	if c.request.Own() {
+		return c.health()
+	}
+	c.tickets++
+	c.todo <- struct{}{}
+	if err := c.in.Wait(); err != nil { // blocks until the client leaves, or sends the next
+		c.ticket.Gone()
+		<-c.done
+		c.end(leaving(err, clientGone))
+		return false
+	}
+	<-c.done
+	return true
+}
+
+// Allow and Continue are what a request is read by.
+func (c *client) Allow(bytes int) { c.in.Allow(bytes) }
+
+// Continue tells the client to send its body.
+func (c *client) Continue() error {
+	c.out.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return c.out.Flush()
+}
+
+func leaving(err error, closed reason) reason {
+	switch {
+	case errors.Is(err, io.EOF):
+		return closed
+	case timedOut(err):
+		return clientSlow
+	}
+	return clientBroken
+}
+
+// refuse answers what is no ticket and closes.
+func (c *client) refuse(err error) bool {
+	var bad *protocol.Bad
+	if c.in.err != nil || !errors.As(err, &bad) {
+		err = c.in.err
+		if err == nil {
+			err = io.EOF
+		}
+		c.front.count.Bad.Add(1)
+		c.end(leaving(err, clientBroken))
+		return false
+	}
+	c.front.count.Bad.Add(1)
+	c.answer(&protocol.Answer{Status: bad.Status, Close: true})
+	c.conn.CloseWrite()
+	c.conn.SetReadDeadline(time.Now().Add(time.Second))
+	io.CopyN(io.Discard, c.conn, protocol.MostBody) // or a reset would overtake the answer
+	c.end(clientBad)
+	return false
+}
+
+// health tells whether the node can take tickets.
+func (c *client) health() bool {
+	a := protocol.Answer{Status: http.StatusOK, Close: c.request.Close}
+	if c.front.draining.Load() || !c.front.router.Knows() {
+		a.Status = http.StatusServiceUnavailable
+	}
+	if !c.answer(&a) {
+		c.end(clientBroken)
+		return false
+	}
+	if a.Close {
+		c.end(clientLast)
+	}
+	return !a.Close
+}
+
+// answer writes an answer whole.
+func (c *client) answer(a *protocol.Answer) bool {
+	c.out.took(protocol.AppendHead(c.out.room(), a))
+	c.out.Write(a.Body)
+	return c.out.Flush() == nil
+}
+
+// serve sees to the tickets.
+func (c *client) serve() {
+	for range c.todo {
+		c.see()
+		c.done <- struct{}{}
+	}
+	close(c.done)
+}
+
+// see takes a ticket through its executions to its answer.
+func (c *client) see() {
+	count := c.front.count
+	count.Taken.Add(1)
+	c.work.fresh()
+	c.ticket.Take(&c.request, c.request.Budget-time.Since(c.came))
+	var a protocol.Answer
+	for a.Status == 0 {
+		switch next := c.ticket.Pick(); next.Do {
+		case routing.Execute:
+			reply, end := c.work.run(next, &c.request)
+			c.ticket.Report(end)
+			if end.Outcome == protocol.Completed {
+				count.Completed.Add(1)
+				a = protocol.Answer{Status: http.StatusOK, Type: reply.Type, Body: reply.Body}
+			}
+		case routing.Bounce:
+			count.Bounced.Add(1)
+			a = protocol.Answer{Status: protocol.StatusBounced, Advice: next.Advice}
+		case routing.BreakOff:
+			count.BrokenOff.Add(1)
+			a = protocol.Answer{Status: protocol.StatusBrokenOff}
+		default:
+			count.Gone.Add(1)
+			return
+		}
+	}
+	a.Close = c.request.Close || c.front.draining.Load()
+	c.conn.SetWriteDeadline(c.came.Add(c.request.Budget + time.Second))
+	if !c.answer(&a) {
+		count.Unanswered.Add(1)
+		c.end(answerBroken)
+	} else if a.Close && c.front.draining.Load() {
+		c.end(nodeDrains)
+	} else if a.Close {
+		c.end(clientLast)
+	}
+}
--- /dev/null
+++ b/internal/transport/ends.go
@@ -0,0 +1,86 @@
+// Package transport is the node's sockets: listeners, connections, the pool of connections to app servers,
+// discovery's watch and the peers' datagrams. It carries out what the facade picks and decides nothing.
+package transport
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cherrygap/internal/protocol"
+)
+
+// reason is the code with which a connection's end is logged; docs/oncall.md says what each means.
+type reason string
+
+const (
+	clientClosed   reason = "client-closed"
+	clientGone     reason = "client-gone"
+	clientLast     reason = "client-last"
+	clientBad      reason = "client-bad"
+	clientSlow     reason = "client-slow"
+	clientBroken   reason = "client-broken"
+	answerBroken   reason = "answer-broken"
+	nodeDrains     reason = "node-drains"
+	evicted        reason = "evicted"
+	serverClosed   reason = "server-closed"
+	serverLast     reason = "server-last"
+	serverBroken   reason = "server-broken"
+	serverBad      reason = "server-bad"
+	serverLate     reason = "server-late"
+	serverDropped  reason = "server-unlisted"
+	withdrawn      reason = "withdrawn"
+	idled          reason = "idle"
+	discoveryEnded reason = "discovery-ended"
+)
+
+// Limits are the node's own, from its configuration.
+type Limits struct {
+	Sockets  int // descriptors of all kinds
+	MemoryMB int
+	Idle     time.Duration // an app server closes connections that stood idle for so long
+	Connect  time.Duration // a connection not up by then is given up
+}
+
+const keptBack = 64 // descriptors for logs, listeners, the runtime and what is being closed
+
+// side is how many connections there may be to clients, and as many to app servers.
+func (l Limits) side() int { return max(8, (l.Sockets-keptBack)/2) }
+
+// ring is the size of one direction's buffer: an eighth of the memory is for all of them.
+func (l Limits) ring() int {
+	return min(max(l.MemoryMB<<20/8/(2*max(1, l.Sockets))&^1023, leastRing), mostRing)
+}
+
+// Counters count what the node takes in, sends and answers.
+type Counters struct {
+	Conns, Taken, Bad, Completed, Bounced, BrokenOff, Gone, Unanswered atomic.Int64
+	Sent, Dialled                                                      atomic.Int64
+	Ends                                                               [protocol.Outcomes]atomic.Int64
+	Lists, ListsBad, Told, ToldFailed, Heard, HeardBad                 atomic.Int64
+}
+
+// MarshalZerologObject writes all counters.
+func (c *Counters) MarshalZerologObject(e *zerolog.Event) {
+	for _, f := range []struct {
+		name string
+		n    *atomic.Int64
+	}{
+		{"connections", &c.Conns}, {"taken", &c.Taken}, {"bad", &c.Bad}, {"completed", &c.Completed},
+		{"bounced", &c.Bounced}, {"broken_off", &c.BrokenOff}, {"gone", &c.Gone}, {"unanswered", &c.Unanswered},
+		{"sent", &c.Sent}, {"dialled", &c.Dialled}, {"lists", &c.Lists}, {"lists_bad", &c.ListsBad},
+		{"told", &c.Told}, {"told_failed", &c.ToldFailed}, {"heard", &c.Heard}, {"heard_bad", &c.HeardBad},
+	} {
+		e.Int64(f.name, f.n.Load())
+	}
+	for o := range c.Ends {
+		e.Int64("ended_"+protocol.Outcome(o).String(), c.Ends[o].Load())
+	}
+}
+
+// logEnd leaves the one line of a connection that ended.
+func logEnd(log *zerolog.Logger, side, peer string, why reason, since time.Time, tickets int) {
+	log.Info().Str("side", side).Str("peer", peer).Str("reason", string(why)).Int("tickets", tickets).
+		Dur("age_ms", time.Since(since)).Msg("connection ended")
+}
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,113 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cherrygap/internal/routing"
+)
+
+// Front takes in clients.
+type Front struct {
+	router *routing.Router
+	pool   *Pool
+	limits Limits
+	log    *zerolog.Logger
+	count  *Counters
+
+	ln       *net.TCPListener
+	slots    chan struct{} // one for each connection there may be
+	draining atomic.Bool
+	open     sync.WaitGroup
+	mu       sync.Mutex
+	clients  map[*client]struct{}
+}
+
+// Listen starts to take in clients.
+func Listen(addr string, router *routing.Router, pool *Pool, limits Limits, log *zerolog.Logger,
+	count *Counters) (*Front, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	f := &Front{router: router, pool: pool, limits: limits, log: log, count: count, ln: ln.(*net.TCPListener),
+		slots: make(chan struct{}, limits.side()), clients: map[*client]struct{}{}}
+	f.open.Add(1)
+	go f.accept()
+	return f, nil
+}
+
+// accept takes a connection only once there is a descriptor for it; the rest wait in the kernel. At the
+// limit the client that has been idle longest makes room: it may ask again on a new connection.
+func (f *Front) accept() {
+	defer f.open.Done()
+	for {
+		select {
+		case f.slots <- struct{}{}:
+		default:
+			f.evict()
+			f.slots <- struct{}{}
+		}
+		conn, err := f.ln.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // none of our own making; never a reason to stop
+			<-f.slots
+			f.log.Warn().Err(err).Msg("accept failed")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		f.count.Conns.Add(1)
+		c := newClient(f, conn)
+		f.mu.Lock()
+		f.clients[c] = struct{}{}
+		f.mu.Unlock()
+		f.open.Add(1)
+		go c.read()
+	}
+}
+
+// evict closes the connection that has been idle longest, if one is idle.
+func (f *Front) evict() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldest *client
+	for c := range f.clients {
+		if c.idle.Load() && (oldest == nil || c.idleAt.Load() < oldest.idleAt.Load()) {
+			oldest = c
+		}
+	}
+	if oldest != nil && oldest.idle.CompareAndSwap(true, false) {
+		oldest.end(evicted)
+	}
+}
+
+// Drain answers what comes with a close, goes on accepting for a while, then closes what is idle and
+// returns once every client has its answer.
+func (f *Front) Drain(accept time.Duration) {
+	f.draining.Store(true)
+	time.Sleep(accept)
+	f.ln.Close()
+	f.mu.Lock()
+	for c := range f.clients {
+		if c.idle.CompareAndSwap(true, false) {
+			c.end(nodeDrains)
+		}
+	}
+	f.mu.Unlock()
+	f.open.Wait()
+}
+
+func (f *Front) gone(c *client) {
+	f.mu.Lock()
+	delete(f.clients, c)
+	f.mu.Unlock()
+	<-f.slots
+	f.open.Done()
+}
--- /dev/null
+++ b/internal/transport/peers.go
@@ -0,0 +1,58 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/rs/zerolog"
+
+	"cherrygap/internal/protocol"
+)
+
+// Mail is the socket of the peers' datagrams.
+type Mail struct {
+	conn  *net.UDPConn
+	peers *protocol.Peers
+	log   *zerolog.Logger
+	count *Counters
+}
+
+// OpenMail opens the socket.
+func OpenMail(addr netip.AddrPort, peers *protocol.Peers, log *zerolog.Logger, count *Counters) (*Mail, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	return &Mail{conn: conn, peers: peers, log: log, count: count}, nil
+}
+
+// Tell sends a message to one peer, or to all. What can't be sent is lost, as any datagram may be.
+func (m *Mail) Tell(peer int, text []byte) {
+	to, ok := m.peers.To(peer)
+	if ok && len(text) <= protocol.MostDatagram {
+		if _, err := m.conn.WriteToUDPAddrPort(text, to); err == nil {
+			m.count.Told.Add(1)
+			return
+		}
+	}
+	m.count.ToldFailed.Add(1)
+}
+
+// Hear passes on what peers send, until the socket is closed. What is not theirs is counted and dropped.
+func (m *Mail) Hear(heard func(from int, text []byte)) {
+	buf := make([]byte, protocol.MostDatagram+1)
+	for {
+		n, addr, err := m.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		from, ok := m.peers.From(addr, n)
+		if err != nil || !ok {
+			m.count.HeardBad.Add(1)
+			continue
+		}
+		m.count.Heard.Add(1)
+		heard(from, buf[:n])
+	}
+}
--- /dev/null
+++ b/internal/transport/ring.go
@@ -0,0 +1,130 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"cherrygap/internal/protocol"
+)
+
+const (
+	lookahead = 2 << 10 // bytes a parser may read ahead of a message's end, and give back
+	leastRing = 2 * lookahead
+	mostRing  = 64 << 10
+	slowHead  = 10 * time.Second // for a message once it has begun
+)
+
+var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lookahead) }}
+
+// ring is the buffer of one direction of a connection. One goroutine uses it at a time.
+type ring struct {
+	conn    net.Conn
+	buf     []byte
+	r, w    int // bytes taken out and put in, ever
+	allowed int // bytes that a message may still take
+	err     error
+	patient bool // a read deadline guards the message under way
+}
+
+func newRing(conn net.Conn, size int) ring { return ring{conn: conn, buf: make([]byte, size)} }
+
+// Wait waits until a byte is there.
+func (g *ring) Wait() error {
+	for g.r == g.w && g.err == nil {
+		g.fill()
+	}
+	if g.r < g.w {
+		return nil
+	}
+	return g.err
+}
+
+// fill reads once, but never over the last bytes that were taken out, which may be given back.
+func (g *ring) fill() {
+	at := g.w % len(g.buf)
+	n, err := g.conn.Read(g.buf[at:min(len(g.buf), at+len(g.buf)-lookahead-(g.w-g.r))])
+	g.w += n
+	if n == 0 {
+		g.err = err
+	}
+}
+
+// Read hands out what is there, or waits. A message that comes in pieces has slowHead to come.
+func (g *ring) Read(p []byte) (int, error) {
+	if g.allowed <= 0 {
+		return 0, protocol.ErrHead
+	}
+	if g.r == g.w {
+		if !g.patient {
+			g.patient = true
+			g.conn.SetReadDeadline(time.Now().Add(slowHead))
+		}
+		if err := g.Wait(); err != nil {
+			return 0, err
+		}
+	}
+	at := g.r % len(g.buf)
+	n := copy(p[:min(len(p), g.allowed)], g.buf[at:min(len(g.buf), at+g.w-g.r)])
+	g.r += n
+	g.allowed -= n
+	return n, nil
+}
+
+// Allow sets how much a message may take from now on.
+func (g *ring) Allow(bytes int) { g.allowed = bytes }
+
+// done ends a message: what the parser read past it goes back.
+func (g *ring) done(br *bufio.Reader) {
+	g.r -= br.Buffered()
+	if g.patient {
+		g.patient = false
+		g.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// room is space for an append, the whole of an empty ring; took notes what was appended to it.
+func (g *ring) room() []byte {
+	if g.r == g.w {
+		g.r, g.w = 0, 0
+	}
+	at := g.w % len(g.buf)
+	return g.buf[at:at:min(len(g.buf), at+len(g.buf)-(g.w-g.r))]
+}
+
+func (g *ring) took(b []byte) {
+	if len(b) > 0 && &b[0] == &g.buf[g.w%len(g.buf)] {
+		g.w += len(b)
+		return
+	}
+	g.Write(b)
+}
+
+// Write puts bytes in and writes to the connection whenever the ring is full.
+func (g *ring) Write(p []byte) (int, error) {
+	for n := 0; n < len(p); {
+		if g.w-g.r == len(g.buf) {
+			g.Flush()
+		}
+		if g.err != nil {
+			return n, g.err
+		}
+		at := g.w % len(g.buf)
+		k := copy(g.buf[at:min(len(g.buf), at+len(g.buf)-(g.w-g.r))], p[n:])
+		g.w += k
+		n += k
+	}
+	return len(p), nil
+}
+
+// Flush writes all that is in the ring. An error stays.
+func (g *ring) Flush() error {
+	for g.r < g.w && g.err == nil {
+		at := g.r % len(g.buf)
+		n, err := g.conn.Write(g.buf[at:min(len(g.buf), at+g.w-g.r)])
+		g.r += n
+		g.err = err
+	}
+	return g.err
+}
--- /dev/null
+++ b/internal/transport/worker.go
@@ -0,0 +1,152 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"sync"
+	"time"
+
+	"cherrygap/internal/protocol"
+	"cherrygap/internal/routing"
+)
+
+// worker runs the executions of one client connection's tickets, one at a time.
+type worker struct {
+	pool   *Pool
+	router *routing.Router
+	body   []byte
+
+	mu     sync.Mutex
+	nth    int                // the execution under way, or -1
+	called int                // the last that was withdrawn, or -1
+	link   *link              // what it waits on, or
+	cancel context.CancelFunc // its dial
+}
+
+// fresh readies the worker for a ticket.
+func (w *worker) fresh() {
+	w.mu.Lock()
+	w.nth, w.called = -1, -1
+	w.mu.Unlock()
+	if cap(w.body) > mostRing/2 {
+		w.body = nil
+	}
+}
+
+// Withdraw ends the nth execution: its wait is cut short, and its connection closed by who waits.
+func (w *worker) Withdraw(nth int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.called = nth
+	if nth != w.nth {
+		return
+	}
+	if w.cancel != nil {
+		w.cancel()
+	}
+	if w.link != nil {
+		w.link.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// begin notes what the nth execution waits on, unless it was withdrawn.
+func (w *worker) begin(nth int, l *link, cancel context.CancelFunc) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.called == nth {
+		return false
+	}
+	w.nth, w.link, w.cancel = nth, l, cancel
+	return true
+}
+
+// end tells whether the execution was withdrawn; from here on it can't be.
+func (w *worker) end() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.link, w.cancel = nil, nil
+	return w.called == w.nth
+}
+
+// run carries out an execution.
+func (w *worker) run(c routing.Choice, q *protocol.Request) (protocol.Reply, routing.End) {
+	began := time.Now()
+	reply := w.try(c, q, began.Add(c.Wait))
+	w.pool.count.Ends[reply.Outcome].Add(1)
+	return reply, routing.End{Outcome: reply.Outcome, Took: time.Since(began), Units: reply.Units, Use: reply.Use}
+}
+
+func (w *worker) try(c routing.Choice, q *protocol.Request, until time.Time) protocol.Reply {
+	l := w.pool.take(c.Server.Addr)
+	if l == nil {
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		if !w.begin(c.Nth, nil, cancel) {
+			return protocol.Reply{Outcome: protocol.Withdrawn}
+		}
+		var err error
+		l, err = w.pool.dial(ctx, c.Server.Addr)
+		if called := w.end(); err != nil && called {
+			return protocol.Reply{Outcome: protocol.Withdrawn}
+		}
+		if err != nil {
+			return protocol.Reply{Outcome: protocol.Unconnected}
+		}
+	}
+	// A dial takes time, in which the server may have begun to drain.
+	if !w.router.MayStart(c.Server) {
+		w.pool.put(l)
+		return protocol.Reply{Outcome: protocol.Unsent}
+	}
+	l.conn.SetDeadline(until)
+	if !w.begin(c.Nth, l, nil) {
+		w.pool.put(l)
+		return protocol.Reply{Outcome: protocol.Withdrawn}
+	}
+	w.pool.count.Sent.Add(1)
+	l.used++
+	l.out.took(protocol.AppendExecution(l.out.room(), q, time.Until(until)))
+	l.out.Write(q.Body)
+	if l.out.Flush() != nil { // not whole: it never ran
+		w.end()
+		w.pool.end(l, serverBroken)
+		return protocol.Reply{Outcome: protocol.Unconnected}
+	}
+	br := parsers.Get().(*bufio.Reader)
+	br.Reset(&l.in)
+	l.in.Allow(protocol.MostHead + 4*protocol.MostBody)
+	l.in.patient = true // the execution's own time guards it
+	reply, err := protocol.ReadReply(br, w.body)
+	l.in.patient = false
+	l.in.done(br)
+	br.Reset(nil)
+	parsers.Put(br)
+	if reply.Body != nil {
+		w.body = reply.Body
+	}
+	called := w.end()
+	switch {
+	case err == nil && (reply.Close || l.in.r != l.in.w):
+		w.pool.end(l, serverLast)
+	case err == nil:
+		w.pool.put(l)
+	case called:
+		reply = protocol.Reply{Outcome: protocol.Withdrawn}
+		w.pool.end(l, withdrawn)
+	case l.in.err == nil:
+		reply = protocol.Reply{Outcome: protocol.Broken}
+		w.pool.end(l, serverBad)
+	case timedOut(l.in.err):
+		reply = protocol.Reply{Outcome: protocol.TimedOut}
+		w.pool.end(l, serverLate)
+	default:
+		reply = protocol.Reply{Outcome: protocol.Broken}
+		w.pool.end(l, serverBroken)
+	}
+	return reply
+}
+
+func timedOut(err error) bool {
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
+}
