Cold settings are read once, not for each server and ticket

Seen: 5% of CPU in map look-ups and float parsing; cause: coldShare read two settings by name for each server of each pick (rules.go). Decisions are the same.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -95,6 +95,7 @@
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
+	n.coldSpan, n.coldFrom = set.Span("cold.span"), set.Num("cold.from")
 	n.wide = float64(n.nodes-1) > wideAt*set.Num("peers.take")*secs(tellEvery)
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
 	n.bands, n.plans = readBands(set), readPlans(set)
@@ -823,11 +824,10 @@
 
 // coldShare is the least share of its capacity that a fresh server has by now.
 func (n *Node) coldShare(s *appServer) float64 {
-	span, from := n.set.Span("cold.span"), n.set.Num("cold.from")
-	if s.Started <= 0 || span <= 0 || n.now >= s.Started+span {
+	if s.Started <= 0 || n.coldSpan <= 0 || n.now >= s.Started+n.coldSpan {
 		return 1
 	}
-	return from + (1-from)*max(0, float64(n.now-s.Started)/float64(span))
+	return n.coldFrom + (1-n.coldFrom)*max(0, float64(n.now-s.Started)/float64(n.coldSpan))
 }
 
 // coldRoom keeps the cold budget alone: this node's share, in executions, by what a warm server lately
--- a/rules/types.go
+++ b/rules/types.go
@@ -340,6 +340,8 @@
 	bands    []band
 	plans    []plan
 	contract Time // the shortest contract time
+	coldSpan Time // a server is warm so long after its start, looked at for each server and ticket
+	coldFrom float64
 	chance   mwc
 
 	servers   []appServer
