A client that leaves before its execution begins leaves nothing out; the whole node is tested

Seen by reading: Pick said that there was nothing to do for a client gone, though the module had already chosen an execution; no end was ever reported, so the server counted it as out for ever (ticket.go Pick). A small test fails on the text before: after 200 such clients a lone ticket is bounced. Could harm where clients are impatient. A test of the program serves a ticket, drains by SIGTERM and ends. docs/design.md tells what the node does beside the module.

--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -60,7 +60,7 @@
 	}
 	hear := func(func(int, []byte) bool) {}
 	if c.Peer.IsValid() {
-		mail, err := transport.OpenMail(c.Peer, protocol.NewPeers(c.Peers, c.PeersAll), &log, count)
+		mail, err := transport.OpenMail(c.Peer, protocol.NewPeers(c.Peers, c.PeersAll), count)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/cmd/cherrygap/main_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.0.0.9:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peer_listen":"127.0.0.4:7946","peers":["127.0.0.5:7946"],
+	"peers_all":"127.0.0.6:7946","known":{"rev":41,"all":true,"targets":[]},
+	"settings":{"slot_no":2,"limits":{"conn_idle":15000000,"connect_timeout":250000,"peers":true}}}`
+
+func TestConfigurationIsRead(t *testing.T) {
+	c, err := parseConfig([]byte(good), func(name string) string {
+		return map[string]string{"GW_LISTEN": "127.0.0.7:80"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := c.limits()
+	if c.Listen != "127.0.0.7:80" || c.seed != 0x8c1f30d27a5be964 || c.known.Rev != 41 || c.set["node"] != "2" ||
+		l.Idle != 15*time.Second || l.Connect != 250*time.Millisecond || l.Sockets != 1024 {
+		t.Errorf("read as %+v, limits %+v", c, l)
+	}
+}
+
+func TestBadConfigurationIsOneError(t *testing.T) {
+	none := func(string) string { return "" }
+	for _, c := range [][2]string{{good, ""}, {`"127.0.0.4:9000"`, `"here"`}, {"8c1f30d27a5be964", "seed"}, {"192", "0"},
+		{`"rev":41`, `"rev":"x"`}, {`"127.0.0.5:7946"`, `"peer"`}, {`"settings":{`, `"settings":[{`}} {
+		_, err := parseConfig([]byte(strings.Replace(good, c[0], c[1], 1)), none)
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.30q for %.30q: %v", c[1], c[0], err)
+		}
+	}
+}
+
+// port is an address that was free a moment ago.
+func port(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// The whole node: it serves by its known list while discovery is down, and SIGTERM ends it once it has
+// answered what it took.
+func TestNodeServesAndDrains(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	started, answer := make(chan struct{}), make(chan struct{})
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		close(started)
+		<-answer
+		io.Copy(w, q.Body)
+	}))
+	listen := port(t)
+	text := strings.NewReplacer("127.0.0.4:9000", listen, "127.0.0.9:8500", port(t), "127.0.0.4:7946", "127.0.0.1:0",
+		`"targets":[]`, `"targets":[{"uid":"s","endpoint":"`+ln.Addr().String()+`","state":"in_service"}]`,
+		`"slot_no":2`, `"replicas_of_me":1,"tick":2000,"services":[{"name":"seats","slo":2000000,"semantics":"at_most_once"}],
+		"tiers_of_service":[{"name":"team"}]`).Replace(good)
+	c, err := parseConfig([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- run(c) }()
+	conn, err := net.Dial("tcp", listen)
+	for end := time.Now().Add(5 * time.Second); err != nil && time.Now().Before(end); conn, err = net.Dial("tcp", listen) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /seats/05 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 9\r\nX-Tariff: team\r\nX-Budget-Ms: 9000\r\n"+
+		"X-Weight: units=1,spread=1,first=0\r\nContent-Length: 4\r\n\r\nbody")
+	<-started
+	syscall.Kill(syscall.Getpid(), syscall.SIGTERM)
+	time.Sleep(acceptFor + 100*time.Millisecond)
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a ticket open: %v", err)
+	default:
+	}
+	close(answer)
+	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(a.Body); a.StatusCode != 200 || string(body) != "body" || !a.Close || err != nil {
+		t.Errorf("status %d, %q, closes %v, %v", a.StatusCode, body, a.Close, err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/protocol/execution.go
+++ b/internal/protocol/execution.go
@@ -24,8 +24,8 @@
 	Outcomes            // how many there are
 )
 
-var outcomeNames = [Outcomes]string{"completed", "errored", "turned_away", "timed_out", "unconnected", "broken",
-	"withdrawn", "unsent"}
+var outcomeNames = [Outcomes]string{"completed", "errored", "turned_away", "timed_out", "unconnected",
+	"broken", "withdrawn", "unsent"}
 
 func (o Outcome) String() string { return outcomeNames[o] }
 
@@ -65,7 +65,7 @@
 // its reader knows, the error says nothing.
 func ReadReply(br *bufio.Reader, body []byte) (Reply, error) {
 	a, err := http.ReadResponse(br, nil)
-	for err == nil && a.StatusCode >= 100 && a.StatusCode < 200 && a.StatusCode != http.StatusSwitchingProtocols {
+	for err == nil && a.StatusCode < 200 && a.StatusCode != http.StatusSwitchingProtocols {
 		a, err = http.ReadResponse(br, nil)
 	}
 	if err != nil {
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -50,8 +50,8 @@
 	Continue() error // tell the client that its body is awaited
 }
 
-// ReadRequest reads one request from br, which reads from src. Its body is appended to body[:0]. Where the connection broke,
-// which its reader knows, the error says nothing.
+// ReadRequest reads one request from br, which reads from src. Its body is appended to body[:0]. Where the
+// connection broke, which its reader knows, the error says nothing.
 func ReadRequest(br *bufio.Reader, src Source, r *Request, body []byte) error {
 	src.Allow(MostHead)
 	q, err := http.ReadRequest(br)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -102,6 +102,22 @@
 	ticket.Report(End{Outcome: protocol.Completed})
 }
 
+// A client that leaves before its first execution begins must not count as one that is out for ever.
+func TestClientThatLeavesAtOnceLeavesNothingOut(t *testing.T) {
+	_, ticket, _ := startRouter(t, "replayable", 2)
+	for range 200 {
+		ticket.Take(&request, 2*time.Second)
+		ticket.Gone()
+		if c := ticket.Pick(); c.Do != Nothing {
+			t.Fatalf("%+v", c)
+		}
+	}
+	ticket.Take(&request, 2*time.Second)
+	if c := ticket.Pick(); c.Do != Execute {
+		t.Errorf("then %+v", c)
+	}
+}
+
 func TestNothingStartsAtServersThatDrain(t *testing.T) {
 	r, ticket, _ := startRouter(t, "replayable", 1)
 	ticket.Take(&request, 2*time.Second)
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -123,12 +123,16 @@
 func (t *Ticket) Pick() Choice {
 	<-t.wake
 	t.r.mu.Lock()
-	defer t.r.mu.Unlock()
-	if t.gone {
+	c, gone := t.choice, t.gone
+	t.choice, t.server = Choice{}, c.Server
+	t.r.mu.Unlock()
+	if gone && c.Do == Execute { // it left between the choice and now: the module must not wait for an end
+		t.Report(End{Outcome: protocol.Unsent})
+	}
+	if gone {
 		return Choice{Do: Nothing}
 	}
-	t.server = t.choice.Server
-	return t.choice
+	return c
 }
 
 var outcomes = [...]rules.Outcome{
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/netip"
 
-	"github.com/rs/zerolog"
-
 	"cherrygap/internal/protocol"
 )
 
@@ -14,17 +12,16 @@
 type Mail struct {
 	conn  *net.UDPConn
 	peers *protocol.Peers
-	log   *zerolog.Logger
 	count *Counters
 }
 
 // OpenMail opens the socket.
-func OpenMail(addr netip.AddrPort, peers *protocol.Peers, log *zerolog.Logger, count *Counters) (*Mail, error) {
+func OpenMail(addr netip.AddrPort, peers *protocol.Peers, count *Counters) (*Mail, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, err
 	}
-	return &Mail{conn: conn, peers: peers, log: log, count: count}, nil
+	return &Mail{conn: conn, peers: peers, count: count}, nil
 }
 
 // Tell sends a message to one peer, or to all. What can't be sent is lost, as any datagram may be.
@@ -39,7 +36,8 @@
 	m.count.ToldFailed.Add(1)
 }
 
-// Hear passes on what peers send, until the socket is closed. What is not theirs, or can't be read, is counted and dropped.
+// Hear passes on what peers send, until the socket is closed. What is not theirs, or can't be read, is
+// counted and dropped.
 func (m *Mail) Hear(heard func(from int, text []byte) bool) {
 	buf := make([]byte, protocol.MostDatagram+1)
 	for {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -403,13 +403,13 @@
 }
 
 func TestStrangersDatagramsAreDropped(t *testing.T) {
-	log, count := zerolog.New(io.Discard), &Counters{}
+	count := &Counters{}
 	a, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	peer := netip.MustParseAddrPort(a.LocalAddr().String())
-	m, err := OpenMail(netip.MustParseAddrPort("127.0.0.1:0"), protocol.NewPeers([]netip.AddrPort{peer}, peer), &log, count)
+	m, err := OpenMail(netip.MustParseAddrPort("127.0.0.1:0"), protocol.NewPeers([]netip.AddrPort{peer}, peer), count)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -71,7 +71,8 @@
 	began := time.Now()
 	reply := w.try(c, q, began.Add(c.Wait))
 	w.pool.count.Ends[reply.Outcome].Add(1)
-	return reply, routing.End{Outcome: reply.Outcome, Took: time.Since(began), Units: reply.Units, Use: reply.Use}
+	took := time.Since(began)
+	return reply, routing.End{Outcome: reply.Outcome, Took: took, Units: reply.Units, Use: reply.Use}
 }
 
 func (w *worker) try(c routing.Choice, q *protocol.Request, until time.Time) protocol.Reply {
