A connection that falls idle while the node drains is closed too

Seen by reading: the drain closes what is idle once; a health check answered in that window, or a connection that had waited for room, stayed open and held up the end until its client left (front.go Drain). Health answers close while draining; a test asks for that.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -78,6 +78,9 @@
 	if c.front.crowded.Load() {
 		c.front.evict()
 	}
+	if c.front.closing.Load() && c.idle.CompareAndSwap(true, false) { // fell idle after the others were closed
+		c.end(nodeDrains)
+	}
 }
 
 // next waits for a request, takes it in, and tells whether there may be another. While a ticket is open it
@@ -164,7 +167,7 @@
 
 // health tells whether the node can take tickets.
 func (c *client) health() bool {
-	a := protocol.Answer{Status: http.StatusOK, Close: c.request.Close}
+	a := protocol.Answer{Status: http.StatusOK, Close: c.request.Close || c.front.draining.Load()}
 	if c.front.draining.Load() || !c.front.router.Knows() {
 		a.Status = http.StatusServiceUnavailable
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -22,8 +22,9 @@
 
 	ln       *net.TCPListener
 	slots    chan struct{} // one for each connection there may be, beside one that waits
-	draining atomic.Bool
-	crowded  atomic.Bool // accept waits for a connection to end
+	draining atomic.Bool   // answers close their connections
+	closing  atomic.Bool   // idle connections are closed
+	crowded  atomic.Bool   // accept waits for a connection to end
 	open     sync.WaitGroup
 	mu       sync.Mutex
 	clients  map[*client]struct{}
@@ -101,6 +102,7 @@
 	f.draining.Store(true)
 	time.Sleep(accept)
 	f.ln.Close()
+	f.closing.Store(true)
 	f.mu.Lock()
 	for c := range f.clients {
 		if c.idle.CompareAndSwap(true, false) {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -299,11 +299,15 @@
 		<-answer
 		return echo(conn, q)
 	})
-	idle, busy := b.dial(t), b.dial(t)
+	idle, busy, asking := b.dial(t), b.dial(t), b.dial(t)
 	io.WriteString(busy, ticketText(5000, "late"))
 	<-got
 	drained := make(chan struct{})
-	go func() { b.front.Drain(50 * time.Millisecond); close(drained) }()
+	go func() { b.front.Drain(300 * time.Millisecond); close(drained) }()
+	eventually(t, "the drain", b.front.draining.Load)
+	if status, _, closes := ask(t, asking, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"); status != 503 || !closes {
+		t.Errorf("health %d, closes %v", status, closes)
+	}
 	if _, err := io.ReadAll(idle); err != nil {
 		t.Error(err)
 	}
