--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -128,7 +128,7 @@
 		}
 	}
 	return err == nil && units && spread && first &&
-		r.Units > 0 && r.Units < 1e9 && r.Spread > 0 && r.First >= 0 // a NaN is not above 0
+		r.Units >= 0 && r.Units < 1e9 && r.Spread > 0 && r.First >= 0 // a NaN is neither
 }
 
 var errBody = errors.New("body too large")
