A request with two words on its body's length is refused, and heads value by value

At fault: protocol.ReadRequest; http.ReadRequest drops Content-Length where the body is chunked, so both passed as chunked. Now the head's Content-Length lines are counted as they pass (protocol.Lengths): two, or one beside chunks, is a 400. Also refused: header values twice or with control bytes, an id with spaces, a budget of 0, a customer of other than 16 hex digits or past 33 bits.

--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	fmt.Fprint(conn, "POST /seats/05 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 9\r\nX-Tariff: team\r\nX-Budget-Ms: 9000\r\n"+
+	fmt.Fprint(conn, "POST /seats/0000000000000005 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 9\r\nX-Tariff: team\r\nX-Budget-Ms: 9000\r\n"+
 		"X-Weight: units=1,spread=1,first=0\r\nContent-Length: 4\r\n\r\nbody")
 	<-started
 	syscall.Kill(syscall.Getpid(), syscall.SIGTERM)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -18,6 +18,7 @@
 	text    string
 	allowed int
 	leaves  int
+	lengths Lengths
 }
 
 func (s *source) Read(p []byte) (int, error) {
@@ -29,10 +30,12 @@
 	}
 	n := copy(p[:min(len(p), s.allowed, 700)], s.text)
 	s.text, s.allowed = s.text[n:], s.allowed-n
+	s.lengths.Pass(p[:n])
 	return n, nil
 }
 
 func (s *source) Allow(n int)     { s.allowed = n }
+func (s *source) Lengths() int    { return s.lengths.Count() }
 func (s *source) Continue() error { s.leaves++; return nil }
 
 func read(text string) (Request, error) {
@@ -55,6 +58,10 @@
 		string(q.Body) != "body" || q.Close {
 		t.Errorf("read as %+v", q)
 	}
+	// A body may hold what looks like a length.
+	if q, err := read(head + "Transfer-Encoding: chunked\r\n\r\n15\r\n\nContent-Length: 50\r\n\r\n0\r\n\r\n"); err != nil {
+		t.Errorf("%q, %v", q.Body, err)
+	}
 	if q, err := read(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"); err != nil || string(q.Body) != "abcde" {
 		t.Errorf("chunked: %q, %v", q.Body, err)
 	}
@@ -66,20 +73,30 @@
 		text string
 		want int
 	}{
-		"not http":       {"hello\r\n\r\n", 400},
-		"bad length":     {head + "Content-Length: x\r\n\r\n", 400},
-		"two lengths":    {head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
-		"bad chunk":      {head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
-		"no id":          {word("X-Call-Id: 9b1f\r\n", ""), 400},
-		"no budget":      {word("X-Budget-Ms: 480\r\n", ""), 400},
-		"budget below 0": {word("480", "-480"), 400},
-		"no weight":      {word("X-Weight: units=2.5,spread=3,first=1\r\n", ""), 400},
-		"units no one":   {word("2.5", "NaN"), 400},
-		"no units":       {word("units=2.5,", ""), 400},
-		"spread 0":       {word("spread=3", "spread=0"), 400},
-		"bad customer":   {word("00000000b4d65521", "xyz"), 400},
-		"short path":     {word("/seats/x/00000000b4d65521", "/seats"), 404},
-		"huge body":      {head + "Content-Length: 65537\r\n\r\n", 413},
+		"not http":          {"hello\r\n\r\n", 400},
+		"bad length":        {head + "Content-Length: x\r\n\r\n", 400},
+		"two lengths":       {head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		"same length twice": {head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", 400},
+		"length and chunks": {head + "cOntent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"chunks and length": {head + "Transfer-Encoding: chunked\r\nContent-Length: 5\n\r\n0\r\n\r\n", 400},
+		"two ids":           {head + "X-Call-Id: 9b20\r\n\r\n", 400},
+		"id with a space":   {word("9b1f", "9b 1f"), 400},
+		"odd id":            {word("9b1f", "9b\x011f"), 400},
+		"budget 0":          {word("480", "0"), 400},
+		"budget, no number": {word("480", "soon"), 400},
+		"customer too high": {word("00000000b4d65521", "00000002b4d65521"), 400},
+		"short customer":    {word("00000000b4d65521", "b4d65521"), 400},
+		"bad chunk":         {head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		"no id":             {word("X-Call-Id: 9b1f\r\n", ""), 400},
+		"no budget":         {word("X-Budget-Ms: 480\r\n", ""), 400},
+		"budget below 0":    {word("480", "-480"), 400},
+		"no weight":         {word("X-Weight: units=2.5,spread=3,first=1\r\n", ""), 400},
+		"units no one":      {word("2.5", "NaN"), 400},
+		"no units":          {word("units=2.5,", ""), 400},
+		"spread 0":          {word("spread=3", "spread=0"), 400},
+		"bad customer":      {word("00000000b4d65521", "xyz"), 400},
+		"short path":        {word("/seats/x/00000000b4d65521", "/seats"), 404},
+		"huge body":         {head + "Content-Length: 65537\r\n\r\n", 413},
 		"huge chunks": {head + "Transfer-Encoding: chunked\r\n\r\n11000\r\n" + strings.Repeat("a", 0x11000) +
 			"\r\n0\r\n\r\n", 413},
 		"huge head": {head + "X-Long: " + strings.Repeat("a", MostHead) + "\r\n\r\n", 431},
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -18,6 +19,9 @@
 	MostHead = 16 << 10 // bytes of a request's head
 	mostWord = 128      // bytes of an id
 	mostTime = time.Hour
+
+	customerBits = 33 // a customer's number
+	mostDigits   = 16 // in which it is written
 )
 
 // Request is a client's request. Words are as they came; the facade maps them.
@@ -48,6 +52,7 @@
 type Source interface {
 	Allow(bytes int) // hand out so many from now on, then ErrHead
 	Continue() error // tell the client that its body is awaited
+	Lengths() int    // Content-Length lines of the head, as it came
 }
 
 // ReadRequest reads one request from br, which reads from src. Its body is appended to body[:0]. Where the
@@ -59,6 +64,11 @@
 		return fault(err)
 	}
 	*r = Request{Method: q.Method, URI: q.RequestURI, Host: q.Host, Close: q.Close, Body: body[:0]}
+	// Two words on where the body ends, of which the parser quietly drops one: another request may hide in it.
+	// It refuses a client that repeats the same length, which none has reason to.
+	if n := src.Lengths(); n > 1 || n > 0 && len(q.TransferEncoding) > 0 {
+		return &Bad{http.StatusBadRequest, "more than one length"}
+	}
 	if q.ContentLength > MostBody {
 		return &Bad{http.StatusRequestEntityTooLarge, "body too large"}
 	}
@@ -76,34 +86,54 @@
 			return fault(err)
 		}
 	}
-	r.Type, r.Key = q.Header.Get("Content-Type"), q.Header.Get("Idempotency-Key")
-	r.ID, r.Plan = q.Header.Get("X-Call-Id"), q.Header.Get("X-Tariff")
 	if r.Own() {
 		return nil
 	}
+	var odd error
+	word := func(name string) string {
+		v := q.Header[name]
+		if len(v) > 1 || len(v) == 1 && !plain(v[0]) {
+			odd = &Bad{http.StatusBadRequest, "odd " + name}
+		}
+		if len(v) == 0 {
+			return ""
+		}
+		return v[0]
+	}
+	r.Type, r.Key = word("Content-Type"), word("Idempotency-Key")
+	r.ID, r.Plan = word("X-Call-Id"), word("X-Tariff")
+	budget, weight := word("X-Budget-Ms"), word("X-Weight")
+	if odd != nil || !plain(r.Host) {
+		return cmp.Or(odd, error(&Bad{http.StatusBadRequest, "odd Host"}))
+	}
 	path := strings.Trim(q.URL.Path, "/")
 	first, last := strings.IndexByte(path, '/'), strings.LastIndexByte(path, '/')
 	if first < 0 {
 		return &Bad{http.StatusNotFound, "path names no band and customer"}
 	}
 	r.Band = path[:first]
-	if r.Customer, err = strconv.ParseUint(path[last+1:], 16, 64); err != nil {
+	if r.Customer, err = strconv.ParseUint(path[last+1:], 16, customerBits); err != nil || len(path)-last-1 != mostDigits {
 		return &Bad{http.StatusBadRequest, "malformed customer"}
 	}
-	if r.ID == "" || len(r.ID) > mostWord {
+	if r.ID == "" || len(r.ID) > mostWord || strings.ContainsAny(r.ID, " \t") {
 		return &Bad{http.StatusBadRequest, "malformed X-Call-Id"}
 	}
-	ms, err := strconv.ParseUint(q.Header.Get("X-Budget-Ms"), 10, 32)
-	if err != nil {
+	ms, err := strconv.ParseUint(budget, 10, 32)
+	if err != nil || ms == 0 {
 		return &Bad{http.StatusBadRequest, "malformed X-Budget-Ms"}
 	}
 	r.Budget = min(time.Duration(ms)*time.Millisecond, mostTime)
-	if !r.weight(q.Header.Get("X-Weight")) {
+	if !r.weight(weight) {
 		return &Bad{http.StatusBadRequest, "malformed X-Weight"}
 	}
 	return nil
 }
 
+// plain tells whether a header's value can be passed on as it is.
+func plain(s string) bool {
+	return !strings.ContainsFunc(s, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
+}
+
 // Own tells whether the request is for the node itself.
 func (r *Request) Own() bool { return r.URI == "/healthz" }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -23,6 +23,7 @@
 	ticket  *routing.Ticket
 	work    worker
 	request protocol.Request
+	lengths protocol.Lengths // of the head being read
 	body    []byte
 	came    time.Time // when the request's first byte was read
 	began   time.Time
@@ -106,7 +107,8 @@
 	}
 	c.came = came
 	br := parsers.Get().(*bufio.Reader)
-	br.Reset(&c.in)
+	c.lengths = protocol.Lengths{}
+	br.Reset(c)
 	err = protocol.ReadRequest(br, c, &c.request, c.body)
 	c.in.done(br)
 	br.Reset(nil)
@@ -130,8 +132,15 @@
 	return true
 }
 
-// Allow and Continue are what a request is read by.
+// Read, Allow, Lengths and Continue are what a request is read by.
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.in.Read(p)
+	c.lengths.Pass(p[:n])
+	return n, err
+}
+
 func (c *client) Allow(bytes int) { c.in.Allow(bytes) }
+func (c *client) Lengths() int    { return c.lengths.Count() }
 
 // Continue tells the client to send its body.
 func (c *client) Continue() error {
