SIGHUP reads the configuration anew and moves discovery's watch, losing no ticket

At fault: cmd/cherrygap/main.go run, which asked for SIGTERM, SIGINT and SIGUSR1 only, and Watch, which had one address for good. Now the whole file is read and checked; a bad one is one log line and changes nothing; where it names another discovery the watch leaves its held call at once and asks there for the whole list. GW_DISCOVERY is of the start only.

--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -31,6 +31,7 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
+	named string // the discovery that the file names
 	seed  uint64
 	known protocol.List
 	set   map[string]string
@@ -58,6 +59,7 @@
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, err
 	}
+	c.named = c.Discovery
 	for name, field := range map[string]*string{"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen,
 		"GW_DISCOVERY": &c.Discovery} {
 		if v := env(name); v != "" {
@@ -87,6 +89,22 @@
 	return c, nil
 }
 
+// reload reads the file again, whole, and carries out what may change while the node runs: discovery's address.
+// A file that can't be read, or is no good anywhere, changes nothing.
+func (c *config) reload(move func(addr string)) (*config, error) {
+	next, err := readConfig()
+	if err != nil {
+		return c, err
+	}
+	if next.named != c.named {
+		if _, err := netip.ParseAddrPort(next.named); err != nil {
+			return c, fmt.Errorf("discovery: %w", err)
+		}
+		move(next.named) // over GW_DISCOVERY too, which is of the start
+	}
+	return next, nil
+}
+
 // limits are the node's own, for its sockets and buffers.
 func (c *config) limits() transport.Limits {
 	span := func(name string) time.Duration { // in tenths of a millisecond
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -51,7 +51,7 @@
 	log := zerolog.New(out).With().Timestamp().Str("node", c.Name).Logger()
 	limits := c.limits()
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 
 	asked := make(chan struct{}, 1)
 	alarm, err := transport.NewAlarm()
@@ -101,10 +101,18 @@
 	router.Tick()
 	log.Info().Str("listen", c.Listen).Msg("started")
 	for s := range signals {
-		if s != syscall.SIGUSR1 {
+		if s == syscall.SIGUSR1 {
+			log.Info().Object("counters", count).Msg("counters")
+			continue
+		}
+		if s != syscall.SIGHUP {
 			break
 		}
-		log.Info().Object("counters", count).Msg("counters")
+		if c, err = c.reload(watch.Move); err != nil {
+			log.Error().Err(err).Msg("new configuration refused")
+		} else {
+			log.Info().Str("discovery", c.named).Msg("new configuration")
+		}
 	}
 	front.Drain(acceptFor)
 	log.Info().Object("counters", count).Msg("stopped")
--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -31,6 +33,32 @@
 	}
 }
 
+// A new file changes nothing unless all of it is good, and discovery's address only where it names another.
+func TestNewConfiguration(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("GW_CONFIG", file)
+	c, err := parseConfig([]byte(good), os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]string{
+		strings.Replace(good, "9:8500", "8:8500", 1):                                          "127.0.0.8:8500",
+		strings.NewReplacer("9:8500", "8:8500", "8c1f30d27a5be964", "seed").Replace(good):     "",
+		strings.NewReplacer("9:8500", "8:8500", `"settings":{`, `"settings":[`).Replace(good): "",
+		strings.Replace(good, "127.0.0.9:8500", "there", 1):                                   "",
+		good: "",
+	} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		moved := ""
+		next, err := c.reload(func(addr string) { moved = addr })
+		if moved != want || (err != nil) != (want == "" && text != good) || next == nil || err != nil && next != c {
+			t.Errorf("moved to %q, want %q: %v", moved, want, err)
+		}
+	}
+}
+
 func TestBadConfigurationIsOneError(t *testing.T) {
 	none := func(string) string { return "" }
 	for _, c := range [][2]string{{good, ""}, {`"127.0.0.4:9000"`, `"here"`}, {"8c1f30d27a5be964", "seed"}, {"192", "0"},
@@ -52,8 +80,8 @@
 	return ln.Addr().String()
 }
 
-// The whole node: it serves by its known list while discovery is down, and SIGTERM ends it once it has
-// answered what it took.
+// The whole node: it serves by its known list while discovery is down, follows a new file to another discovery
+// on SIGHUP, passes over a bad one, and SIGTERM ends it once it has answered what it took.
 func TestNodeServesAndDrains(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -88,6 +116,35 @@
 	fmt.Fprint(conn, "POST /seats/0000000000000005 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 9\r\nX-Tariff: team\r\nX-Budget-Ms: 9000\r\n"+
 		"X-Weight: units=1,spread=1,first=0\r\nContent-Length: 4\r\n\r\nbody")
 	<-started
+	disco, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disco.Close()
+	asked := make(chan string, 1)
+	go http.Serve(disco, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		asked <- q.RequestURI
+		<-answer
+	}))
+	file := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("GW_CONFIG", file)
+	t.Setenv("GW_DISCOVERY", c.Discovery)
+	moved := strings.Replace(text, c.Discovery, disco.Addr().String(), 1)
+	for _, now := range []string{moved[:len(moved)-9], moved} {
+		if err := os.WriteFile(file, []byte(now), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		syscall.Kill(syscall.Getpid(), syscall.SIGHUP)
+		time.Sleep(20 * time.Millisecond)
+	}
+	select {
+	case uri := <-asked:
+		if uri != "/v1/servers" {
+			t.Errorf("the new discovery was asked %s", uri)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the new discovery was never asked")
+	}
 	syscall.Kill(syscall.Getpid(), syscall.SIGTERM)
 	time.Sleep(acceptFor + 100*time.Millisecond)
 	select {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/quick"
 	"time"
@@ -531,3 +533,46 @@
 		t.Errorf("then %+v, %d bad, after %v", l, count.ListsBad.Load(), time.Since(began))
 	}
 }
+
+// Discovery moves: the watch leaves a call that is held, and asks the new address for the whole list.
+func TestWatchMoves(t *testing.T) {
+	calls := make(chan string, 9)
+	var addrs []string
+	for range 2 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		addrs = append(addrs, ln.Addr().String())
+		go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			calls <- q.Host + q.RequestURI
+			if q.RequestURI != "/v1/servers" {
+				<-q.Context().Done()
+				return
+			}
+			io.WriteString(w, `{"rev":5,"all":true,"targets":[]}`)
+		}))
+	}
+	var missed atomic.Bool
+	log := zerolog.New(io.Discard)
+	w := &Watch{Addr: addrs[0], Whole: true, Limits: roomy, Log: &log, Count: &Counters{},
+		Listed: func(*protocol.List) {}, Missed: func() { missed.Store(true) }}
+	go w.Run()
+	for _, addr := range []string{addrs[0], addrs[1], addrs[0]} {
+		for _, uri := range []string{"/v1/servers", "/v1/servers?from=5&hold_ms=20000"} {
+			select {
+			case got := <-calls:
+				if got != addr+uri {
+					t.Errorf("call %s, want %s%s", got, addr, uri)
+				}
+			case <-time.After(3 * time.Second):
+				t.Fatal("no call to " + addr + uri)
+			}
+		}
+		if missed.Load() {
+			t.Error("a call was missed")
+		}
+		w.Move(addrs[(slices.Index(addrs, addr)+1)%2])
+	}
+}
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,34 +33,75 @@
 	Listed func(*protocol.List)
 	Missed func()
 	Asked  <-chan struct{} // where set, each run of calls waits for a word
+
+	mu    sync.Mutex
+	addr  string // where it has moved to
+	leave context.CancelFunc
+}
+
+// Move makes the watch follow discovery at another address from now on. There it asks for the whole list: what
+// one address told last need not be what the other counts from.
+func (w *Watch) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addr = addr
+	if w.leave != nil {
+		w.leave()
+	}
+}
+
+// begin readies a run of calls, which ends with the context.
+func (w *Watch) begin() (context.Context, context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	w.leave = cancel
+	if w.addr != "" {
+		w.Addr, w.Whole, w.addr = w.addr, true, ""
+	}
+	return ctx, cancel
 }
 
 // Run follows discovery for good.
 func (w *Watch) Run() {
 	pause := againOnce
-	for {
-		if w.Asked != nil {
-			<-w.Asked
+	for moved := false; ; {
+		ctx, cancel := w.begin()
+		if w.Asked != nil && !moved {
+			select {
+			case <-w.Asked:
+			case <-ctx.Done():
+			}
 		}
 		began := time.Now()
-		err := w.follow()
-		if w.Missed != nil {
-			w.Missed()
+		if err := w.follow(ctx); ctx.Err() == nil {
+			if w.Missed != nil {
+				w.Missed()
+			}
+			w.Log.Warn().Err(err).Msg("discovery's watch ended")
+			if pause = min(2*pause, againLong); time.Since(began) > pause {
+				pause = againOnce
+			}
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+			}
 		}
-		w.Log.Warn().Err(err).Msg("discovery's watch ended")
-		if pause = min(2*pause, againLong); time.Since(began) > pause {
+		if moved = ctx.Err() != nil; moved { // nothing was missed: go on there at once
 			pause = againOnce
 		}
-		time.Sleep(pause)
+		cancel()
 	}
 }
 
 // follow makes one call after another, each as soon as the last is answered, until one fails.
-func (w *Watch) follow() error {
-	conn, err := net.DialTimeout("tcp", w.Addr, max(w.Limits.Connect, againLong))
+func (w *Watch) follow(ctx context.Context) error {
+	d := net.Dialer{Timeout: max(w.Limits.Connect, againLong), KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", w.Addr)
 	if err != nil {
 		return err
 	}
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	began, calls := time.Now(), 0
 	defer func() {
 		conn.Close()
