--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -34,7 +34,8 @@
 	todo   chan struct{} // a request is there
 	done   chan struct{} // it has been seen to
 	owed   atomic.Bool   // a ticket is open
-	idle   atomic.Bool   // between requests: who sets it to false may close
+	idle   atomic.Bool   // between requests, or before the first is whole: who sets it to false may close
+	asked  atomic.Bool   // it has sent a whole request
 	idleAt atomic.Int64
 	ending sync.Once
 	why    reason
@@ -46,6 +47,8 @@
 		out: newRing(conn, newSocket(conn), size), began: time.Now(),
 		todo: make(chan struct{}, 1), done: make(chan struct{}, 1)}
 	conn.SetKeepAlive(false)
+	conn.SetDeadline(c.began.Add(messageBy)) // whoever says nothing, or never all of it, is closed
+	c.in.patient = true
 	c.work = worker{pool: f.pool, router: f.router}
 	c.ticket = f.router.NewTicket(&c.work)
 	return c
@@ -95,7 +98,8 @@
 		<-c.done
 		c.busy = false
 	}
-	if !c.idle.CompareAndSwap(true, false) {
+	// Until its first request is whole a client may be closed for others: half of one must hold no slot.
+	if c.asked.Load() && !c.idle.CompareAndSwap(true, false) {
 		return false // closed meanwhile
 	}
 	if err != nil {
@@ -113,15 +117,22 @@
 	c.in.done(br)
 	br.Reset(nil)
 	parsers.Put(br)
+	if !c.asked.Load() && !c.idle.CompareAndSwap(true, false) {
+		return false
+	}
 	if cap(c.request.Body) > 0 {
 		c.body = trim(c.request.Body)
 	}
 	if err == nil && !c.request.Own() && !c.front.router.Known(&c.request) {
 		err = &protocol.Bad{Status: http.StatusNotFound, Why: "unknown band or plan"}
 	}
+	if err == nil && !c.request.Own() && !c.front.ids.take(c.request.ID) {
+		err = &protocol.Bad{Status: http.StatusConflict, Why: "id of another ticket"}
+	}
 	if err != nil {
 		return c.refuse(err)
 	}
+	c.asked.Store(true)
 	if c.request.Own() {
 		return c.health()
 	}
@@ -144,6 +155,7 @@
 
 // Continue tells the client to send its body.
 func (c *client) Continue() error {
+	c.conn.SetWriteDeadline(time.Now().Add(messageBy))
 	c.out.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	return c.out.Flush()
 }
@@ -166,9 +178,11 @@
 		c.end(leaving(c.in.err, clientBroken))
 		return false
 	}
+	c.conn.SetDeadline(time.Now().Add(lingerFor))
 	c.answer(&protocol.Answer{Status: bad.Status, Close: true})
 	c.conn.CloseWrite()
-	c.conn.SetReadDeadline(time.Now().Add(time.Second))
+	c.asked.Store(false) // from here on it may be closed for others
+	c.idle.Store(true)
 	io.CopyN(io.Discard, c.conn, protocol.MostBody) // or a reset would overtake the answer
 	c.end(clientBad)
 	return false
@@ -180,6 +194,7 @@
 	if c.front.draining.Load() || !c.front.router.Knows() {
 		a.Status = http.StatusServiceUnavailable
 	}
+	c.conn.SetWriteDeadline(time.Now().Add(messageBy)) // the last ticket's may be over
 	if !c.answer(&a) {
 		c.end(clientBroken)
 		return false
@@ -211,6 +226,7 @@
 // see takes a ticket through its executions to its answer.
 func (c *client) see() {
 	count := c.front.count
+	defer c.front.ids.answered(c.request.ID)
 	count.Taken.Add(1)
 	c.work.fresh()
 	c.ticket.Take(&c.request, c.request.Budget-time.Since(c.came))
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -21,6 +21,7 @@
 	count  *Counters
 
 	ln       *net.TCPListener
+	ids      *ids
 	slots    chan struct{} // one for each connection there may be, beside one that waits
 	draining atomic.Bool   // answers close their connections
 	closing  atomic.Bool   // idle connections are closed
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	f := &Front{router: router, pool: pool, limits: limits, log: log, count: count, ln: ln.(*net.TCPListener),
-		slots: make(chan struct{}, limits.side()), clients: map[*client]struct{}{}}
+		ids: newIDs(), slots: make(chan struct{}, limits.side()), clients: map[*client]struct{}{}}
 	f.open.Add(1)
 	go f.accept()
 	return f, nil
@@ -77,7 +78,8 @@
 	}
 }
 
-// evict closes the connection that has been idle longest, if one is idle and none is being evicted.
+// evict closes the connection that has been idle longest, if one is idle and none is being evicted; those that
+// never sent a whole request go first, or a crowd of them would push out the clients that ask.
 func (f *Front) evict() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -86,7 +88,7 @@
 	}
 	var oldest *client
 	for c := range f.clients {
-		if c.idle.Load() && (oldest == nil || c.idleAt.Load() < oldest.idleAt.Load()) {
+		if c.idle.Load() && (oldest == nil || c.before(oldest)) {
 			oldest = c
 		}
 	}
@@ -96,6 +98,14 @@
 	}
 }
 
+// before tells which of two idle connections is closed first.
+func (c *client) before(o *client) bool {
+	if a, b := c.asked.Load(), o.asked.Load(); a != b {
+		return b
+	}
+	return c.idleAt.Load() < o.idleAt.Load()
+}
+
 // Drain answers what comes with a close, goes on accepting for a while, then closes what is idle and
 // returns once every client has its answer.
 func (f *Front) Drain(accept time.Duration) {
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -13,7 +13,12 @@
 	lookahead = 2 << 10 // bytes a parser may read ahead of a message's end, and give back
 	leastRing = 2 * lookahead
 	mostRing  = 64 << 10
-	slowHead  = 10 * time.Second // for a message once it has begun
+)
+
+// Times of clients, who are owed an answer or a close within 3 s of connecting.
+const (
+	messageBy = 2 * time.Second        // for the first message from the connection on, for others from their begin
+	lingerFor = 250 * time.Millisecond // for who was refused to take the answer in
 )
 
 var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lookahead) }}
@@ -56,7 +61,7 @@
 	}
 }
 
-// Read hands out what is there, or waits. A message that comes in pieces has slowHead to come.
+// Read hands out what is there, or waits. A message that comes in pieces has messageBy to come.
 func (g *ring) Read(p []byte) (int, error) {
 	if g.allowed <= 0 {
 		return 0, protocol.ErrHead
@@ -64,7 +69,7 @@
 	if g.r == g.w {
 		if !g.patient {
 			g.patient = true
-			g.conn.SetReadDeadline(time.Now().Add(slowHead))
+			g.conn.SetReadDeadline(time.Now().Add(messageBy))
 		}
 		if err := g.Wait(); err != nil {
 			return 0, err
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -125,9 +125,11 @@
 	return conn
 }
 
+var lastID atomic.Int64
+
 func ticketText(budget int, body string) string {
-	return fmt.Sprintf("POST /seats/0000000000000005 HTTP/1.1\r\nHost: a\r\nX-Call-Id: 9\r\nX-Tariff: team\r\nX-Budget-Ms: %d\r\n"+
-		"X-Weight: units=1,spread=1,first=0\r\nContent-Length: %d\r\n\r\n%s", budget, len(body), body)
+	return fmt.Sprintf("POST /seats/0000000000000005 HTTP/1.1\r\nHost: a\r\nX-Call-Id: %d\r\nX-Tariff: team\r\nX-Budget-Ms: %d\r\n"+
+		"X-Weight: units=1,spread=1,first=0\r\nContent-Length: %d\r\n\r\n%s", lastID.Add(1), budget, len(body), body)
 }
 
 // ask sends text and reads one answer.
@@ -350,6 +352,93 @@
 	}
 }
 
+// Clients are owed an answer or a close within 3 s of connecting, also where a message never ends. One that has
+// asked may stay.
+func TestClientsThatNeverAskAreClosedInTime(t *testing.T) {
+	b := start(t, "replayable", roomy, 1, echo)
+	stays := b.dial(t)
+	ask(t, stays, ticketText(100, "x"))
+	began := time.Now()
+	var all sync.WaitGroup
+	for _, text := range []string{"", "POST /seats", ticketText(100, "xx")[:150], ticketText(100, "xx"+strings.Repeat("x", 9000))[:8000]} {
+		conn := b.dial(t)
+		io.WriteString(conn, text)
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if _, err := io.ReadAll(conn); timedOut(err) || time.Since(began) > 2800*time.Millisecond {
+				t.Errorf("%.20q: %v after %v", text, err, time.Since(began))
+			}
+		}()
+	}
+	all.Wait()
+	// The time its last answer had is over; one to the next request has its own.
+	if status, _, _ := ask(t, stays, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
+
+// At the limit those who never sent a whole request go first, at once, however many they are.
+func TestCrowdsThatNeverAskMakeRoom(t *testing.T) {
+	limits := roomy
+	limits.Sockets = keptBack + 16 // eight clients
+	b := start(t, "replayable", limits, 1, echo)
+	stays := b.dial(t)
+	if status, _, _ := ask(t, stays, ticketText(3000, "x")); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	began := time.Now()
+	for i := range 60 {
+		io.WriteString(b.dial(t), "POST /seats HTTP/1.1\r\nHost"[:i%2*24])
+	}
+	for _, conn := range []net.Conn{b.dial(t), stays} {
+		if status, _, _ := ask(t, conn, ticketText(3000, "x")); status != 200 || time.Since(began) > messageBy/2 {
+			t.Fatalf("status %d after %v", status, time.Since(began))
+		}
+	}
+	if b.log.has(string(clientSlow)) || !b.log.has(string(evicted)) {
+		t.Error("the crowd was waited for")
+	}
+}
+
+// A stranger may send the id of another client's ticket, open or lately answered: that must not run.
+func TestIdOfAnotherTicketIsRefused(t *testing.T) {
+	got, answer := make(chan struct{}, 9), make(chan struct{})
+	b := start(t, "replayable", roomy, 1, func(conn net.Conn, q *http.Request) bool {
+		got <- struct{}{}
+		<-answer
+		return echo(conn, q)
+	})
+	text, conn := ticketText(5000, "mine"), b.dial(t)
+	io.WriteString(conn, text)
+	<-got
+	for range 2 {
+		if status, _, closes := ask(t, b.dial(t), text); status != 409 || !closes {
+			t.Errorf("status %d, closes %v", status, closes)
+		}
+		if answer != nil {
+			close(answer)
+			if status, body, _ := ask(t, conn, ""); status != 200 || body != "mine" {
+				t.Errorf("status %d, body %q", status, body)
+			}
+			answer = nil
+		}
+	}
+}
+
+func TestAnsweredIdsAreForgotten(t *testing.T) {
+	s := newIDs()
+	for i := range 5 * mostIDs {
+		id := strconv.Itoa(i)
+		if !s.take(id) || s.take(id) {
+			t.Fatalf("id %d", i)
+		}
+		if s.answered(id); s.take(id) || len(s.now)+len(s.old)+len(s.open) > 2*mostIDs {
+			t.Fatalf("id %d, %d kept", i, len(s.now)+len(s.old)+len(s.open))
+		}
+	}
+}
+
 func TestPoolNeverHoldsMoreThanItsSide(t *testing.T) {
 	limits := roomy
 	limits.Sockets = keptBack + 16
