A client that has only come is not closed for others while its request may be on its way

At fault: front.go before(): among many clients that asked once and stay, the newest was the only one that had not asked, and went first within a millisecond. Now it has 100 ms to ask before it goes first; until then it goes last.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -98,14 +98,25 @@
 	}
 }
 
-// before tells which of two idle connections is closed first.
+// before tells which of two idle connections is closed first: one that had its time to ask and did not, then the
+// one that has been idle longest, and last one that has only come, whose request may be on its way.
 func (c *client) before(o *client) bool {
-	if a, b := c.asked.Load(), o.asked.Load(); a != b {
-		return b
+	if a, b := c.standing(), o.standing(); a != b {
+		return a < b
 	}
 	return c.idleAt.Load() < o.idleAt.Load()
 }
 
+func (c *client) standing() int {
+	switch {
+	case c.asked.Load():
+		return 1
+	case time.Since(c.began) >= askWithin:
+		return 0
+	}
+	return 2
+}
+
 // Drain answers what comes with a close, goes on accepting for a while, then closes what is idle and
 // returns once every client has its answer.
 func (f *Front) Drain(accept time.Duration) {
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -18,6 +18,7 @@
 // Times of clients, who are owed an answer or a close within 3 s of connecting.
 const (
 	messageBy = 2 * time.Second        // for the first message from the connection on, for others from their begin
+	askWithin = 100 * time.Millisecond // for the first byte of the first, before others' needs go first
 	lingerFor = 250 * time.Millisecond // for who was refused to take the answer in
 )
 
