One spoilt answer rests no server: two in a row do, in their band, and its time is no pressure

Any server spoils some 4% of its answers there, so that the rotation lost sound servers all the time. Now it is an outcome of its own (may have run), judged as a time-out is. Ruled out: CPU (a profile of the node shows 2% of a core), late copies (no connection was closed for one).

--- a/internal/protocol/execution.go
+++ b/internal/protocol/execution.go
@@ -21,11 +21,12 @@
 	Broken              // the connection broke after that: it may have run
 	Withdrawn           // the node gave it up
 	Unsent              // the node held it back before its first byte
+	Spoilt              // what came can't be read, over a connection that stands: it may have run
 	Outcomes            // how many there are
 )
 
 var outcomeNames = [Outcomes]string{"completed", "errored", "turned_away", "timed_out", "unconnected",
-	"broken", "withdrawn", "unsent"}
+	"broken", "withdrawn", "unsent", "spoilt"}
 
 func (o Outcome) String() string { return outcomeNames[o] }
 
@@ -68,7 +69,7 @@
 	for err == nil && a.StatusCode < 200 && a.StatusCode != http.StatusSwitchingProtocols {
 		a, err = http.ReadResponse(br, nil)
 	}
-	if err != nil {
+	if err != nil || a.ContentLength > MostBody {
 		return Reply{}, ErrAnswer
 	}
 	r := Reply{Outcome: Errored, Type: a.Header.Get("Content-Type"), Close: a.Close}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -69,7 +69,7 @@
 
 func TestSingleUseThatMayHaveRunIsBrokenOff(t *testing.T) {
 	for outcome, want := range map[protocol.Outcome]Do{protocol.Errored: BreakOff, protocol.Broken: BreakOff,
-		protocol.TimedOut: BreakOff, protocol.Withdrawn: BreakOff, protocol.Unsent: Bounce, protocol.Unconnected: Bounce,
+		protocol.TimedOut: BreakOff, protocol.Spoilt: BreakOff, protocol.Withdrawn: BreakOff, protocol.Unsent: Bounce, protocol.Unconnected: Bounce,
 		protocol.TurnedAway: Bounce} {
 		_, ticket, _ := startRouter(t, "single-use", 2)
 		ticket.Take(&request, 2*time.Second)
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -139,6 +139,7 @@
 	protocol.Completed: rules.OK, protocol.Errored: rules.Failed, protocol.TurnedAway: rules.Full,
 	protocol.TimedOut: rules.TimedOut, protocol.Unconnected: rules.Unreached, protocol.Broken: rules.Reset,
 	protocol.Withdrawn: rules.Withdrawn, protocol.Unsent: rules.Moot,
+	protocol.Spoilt: rules.Spoilt,
 }
 
 // Report tells how the ticket's execution ended. One that completed is the ticket's answer.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -216,6 +216,31 @@
 	}
 }
 
+// An answer that can't be read has run; what comes behind a good one is never the next ticket's answer.
+func TestSpoiltAnswersAreNotPassedOn(t *testing.T) {
+	long := "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"
+	for _, text := range []string{"noise\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n", long, long + strings.Repeat("x", 1<<20),
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 1<<20), strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1<<15)} {
+		b := start(t, "single-use", roomy, 1, func(conn net.Conn, q *http.Request) bool {
+			io.WriteString(conn, text)
+			conn.Read(make([]byte, 1)) // it stays open
+			return false
+		})
+		if status, _, _ := ask(t, b.dial(t), ticketText(3000, "x")); status != 502 || b.count.Ends[protocol.Spoilt].Load() != 1 {
+			t.Errorf("%.40q: status %d", text, status)
+		}
+	}
+	b := start(t, "single-use", roomy, 1, func(conn net.Conn, q *http.Request) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmineHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n?")
+		return true
+	})
+	for range 20 {
+		if status, body, _ := ask(t, b.dial(t), ticketText(3000, "mine")); status == 200 && body != "mine" {
+			t.Fatalf("body %q", body)
+		}
+	}
+}
+
 // A server may close idle connections at any time; an execution written to one would count as run.
 func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
 	b := start(t, "single-use", roomy, 1, func(conn net.Conn, q *http.Request) bool { echo(conn, q); return false })
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -136,7 +136,7 @@
 		reply = protocol.Reply{Outcome: protocol.Withdrawn}
 		w.pool.end(l, withdrawn)
 	case l.in.err == nil:
-		reply = protocol.Reply{Outcome: protocol.Broken}
+		reply = protocol.Reply{Outcome: protocol.Spoilt}
 		w.pool.end(l, serverBad)
 	case timedOut(l.in.err):
 		reply = protocol.Reply{Outcome: protocol.TimedOut}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -194,7 +194,7 @@
 	}
 	n.judge(s, t.band, seen, r.Took)
 	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
-	if seen == OK || !lone && !lost && seen != Moot && seen != Withdrawn && seen != Failed {
+	if seen == OK || !lone && !lost && seen != Moot && seen != Withdrawn && seen != Failed && seen != Spoilt {
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
@@ -255,7 +255,7 @@
 			s.by[k].misses++
 			n.rest(&s.by[k])
 		}
-	case TimedOut:
+	case TimedOut, Spoilt: // any server's answer may be spoilt: one alone tells little
 		if at.misses++; trial || at.misses >= missesMost {
 			n.rest(at)
 		}
--- a/rules/types.go
+++ b/rules/types.go
@@ -27,6 +27,7 @@
 	Reset             // the connection broke
 	Withdrawn         // called back by this node
 	Moot              // never sent
+	Spoilt            // an answer came that can't be read
 )
 
 // RosterKind is what a message of the server roster holds.
