Servers that are gone are forgotten; connections belong to a server, not to its address

Seen in the code: the module's servers and routing's three maps only grew (fleet.go take, rules.go Roster), InService looked at all of them, and the pool was keyed by address, so that a new server at the address of one that vanished got its old, silent connections.

--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -86,7 +86,7 @@
 	watch := &transport.Watch{Addr: c.Discovery, Rev: c.known.Rev, Whole: !known, Limits: limits, Log: &log,
 		Count: count, Missed: router.Missed, Listed: func(l *protocol.List) {
 			router.Listed(l, false)
-			pool.Keep(router.InService)
+			pool.Keep(router.MayStart)
 		}}
 	if c.set["roster"] == "ask" {
 		watch.Asked = asked
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -46,6 +46,17 @@
 	return id
 }
 
+// forget drops servers that are gone, which else would pile up: what is still out at one holds it itself.
+func (f *fleet) forget() {
+	for uid, id := range f.ids {
+		if s := f.servers[id]; s.state == protocol.Terminated {
+			delete(f.servers, id)
+			delete(f.ids, uid)
+			delete(f.taken, id)
+		}
+	}
+}
+
 // number is the number of a name, by order of first sight.
 func number[N uint8 | uint16](m map[string]N, name string) N {
 	n, ok := m[name]
@@ -67,6 +78,7 @@
 		}
 	}
 	f.list = f.list[:0]
+	defer f.forget()
 	for _, t := range l.Targets {
 		id := f.id(t.UID)
 		s := f.servers[id]
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -4,7 +4,6 @@
 package routing
 
 import (
-	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -32,6 +31,8 @@
 type Router struct {
 	cfg          Config
 	bands, plans map[string]int
+	nodes        int
+	largest      float64 // units of a ticket
 	start        time.Time
 	base         rules.Time
 
@@ -56,6 +57,8 @@
 	now := time.Now()
 	r := &Router{cfg: cfg, start: now, base: rules.Time(now.UnixNano() / int64(tenth)),
 		bands: names(cfg.Settings, "band"), plans: names(cfg.Settings, "plan"), fleet: newFleet()}
+	set := rules.Settings(cfg.Settings)
+	r.nodes, r.largest = max(1, int(set.Num("nodes"))), set.Num("largest")
 	r.node = rules.New(cfg.Seed, cfg.Settings, r.base)
 	return r
 }
@@ -179,15 +182,3 @@
 	defer r.mu.Unlock()
 	return r.fleet.servers[s.id] == s && s.state == protocol.InService
 }
-
-// InService tells whether a server in service has that address.
-func (r *Router) InService(addr netip.AddrPort) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.fleet.servers {
-		if s.Addr == addr && s.state == protocol.InService {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -95,6 +95,12 @@
 	return band && plan
 }
 
+// Fits tells whether a request's figures are such as the settings allow. It guards a customer's bucket and set
+// against whoever writes odd figures under its name. A setting that is missing allows anything.
+func (r *Router) Fits(q *protocol.Request) bool {
+	return (r.largest <= 0 || q.Units <= r.largest) && q.Spread <= r.nodes && q.First < r.nodes
+}
+
 // Take hands a new ticket to the module, for whose answer its client waits until so much later.
 func (t *Ticket) Take(q *protocol.Request, left time.Duration) {
 	r := t.r
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -19,6 +19,7 @@
 type client struct {
 	front   *Front
 	conn    *net.TCPConn
+	sock    *socket // what it is read by
 	in, out ring
 	ticket  *routing.Ticket
 	work    worker
@@ -42,18 +43,23 @@
 }
 
 func newClient(f *Front, conn *net.TCPConn) *client {
-	size := f.limits.ring()
-	c := &client{front: f, conn: conn, in: newRing(conn, newSocket(conn), size),
-		out: newRing(conn, newSocket(conn), size), began: time.Now(),
-		todo: make(chan struct{}, 1), done: make(chan struct{}, 1)}
+	c := &client{front: f, conn: conn, began: time.Now(), sock: newSocket(conn)}
+	c.in, c.out = ring{conn: conn, sock: c.sock}, ring{conn: conn, sock: newSocket(conn)}
 	conn.SetKeepAlive(false)
-	conn.SetDeadline(c.began.Add(messageBy)) // whoever says nothing, or never all of it, is closed
+	conn.SetReadDeadline(c.began.Add(messageBy)) // whoever says nothing, or never all of it, is closed
 	c.in.patient = true
-	c.work = worker{pool: f.pool, router: f.router}
-	c.ticket = f.router.NewTicket(&c.work)
 	return c
 }
 
+// open readies what tickets need. Before the first a connection has none of it, and no buffers before its first
+// byte, so that crowds of connections that say nothing cost next to nothing.
+func (c *client) open() {
+	c.todo, c.done = make(chan struct{}, 1), make(chan struct{}, 1)
+	c.work = worker{pool: c.front.pool, router: c.front.router}
+	c.ticket = c.front.router.NewTicket(&c.work)
+	go c.serve()
+}
+
 // end closes the connection; the first reason stays.
 func (c *client) end(why reason) {
 	c.ending.Do(func() {
@@ -64,13 +70,16 @@
 
 // read takes in one request after another and hands them over.
 func (c *client) read() {
-	go c.serve()
 	c.rest()
+	c.sock.ready()
+	c.in.make(c.front.limits.ring())
 	for c.next() {
 	}
-	close(c.todo)
-	<-c.done // the last word of serve
-	c.ticket.Free()
+	if c.ticket != nil {
+		close(c.todo)
+		<-c.done // the last word of serve
+		c.ticket.Free()
+	}
 	c.front.gone(c)
 	logEnd(c.front.log, "client", c.conn.RemoteAddr().String(), c.why, c.began, c.tickets)
 }
@@ -126,6 +135,9 @@
 	if err == nil && !c.request.Own() && !c.front.router.Known(&c.request) {
 		err = &protocol.Bad{Status: http.StatusNotFound, Why: "unknown band or plan"}
 	}
+	if err == nil && !c.request.Own() && !c.front.router.Fits(&c.request) {
+		err = &protocol.Bad{Status: http.StatusBadRequest, Why: "figures outside the settings"}
+	}
 	if err == nil && !c.request.Own() && !c.front.ids.take(c.request.ID) {
 		err = &protocol.Bad{Status: http.StatusConflict, Why: "id of another ticket"}
 	}
@@ -136,6 +148,9 @@
 	if c.request.Own() {
 		return c.health()
 	}
+	if c.ticket == nil {
+		c.open()
+	}
 	c.tickets++
 	c.busy = true
 	c.owed.Store(true)
@@ -156,6 +171,7 @@
 // Continue tells the client to send its body.
 func (c *client) Continue() error {
 	c.conn.SetWriteDeadline(time.Now().Add(messageBy))
+	c.out.make(c.front.limits.ring())
 	c.out.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	return c.out.Flush()
 }
@@ -208,6 +224,7 @@
 
 // answer writes an answer whole.
 func (c *client) answer(a *protocol.Answer) bool {
+	c.out.make(c.front.limits.ring())
 	c.out.took(protocol.AppendHead(c.out.room(), a))
 	c.out.Write(a.Body)
 	return c.out.Flush() == nil
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -4,36 +4,42 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"cherrygap/internal/routing"
 )
 
 // retireAt is the part of the app servers' idle time after which the node closes a connection itself, so
 // that no execution is written to one that its server closes at that moment and so may have run.
 const retireAt = 0.8
 
+// settleFor is how long a connection stays out of use after an answer.
+const settleFor = 2 * time.Millisecond
+
 // link is one connection to an app server.
 type link struct {
 	conn    *net.TCPConn
 	sock    *socket
-	addr    netip.AddrPort
+	server  *routing.Server
 	in, out ring
 	began   time.Time
 	idleAt  time.Time
 	used    int
 }
 
-// Pool keeps the connections to app servers, for each a stack of idle ones.
+// Pool keeps the connections to app servers, for each a stack of idle ones. They are of a server, not of an
+// address: one that is new may have the address of one that has gone, whose connections stand open and silent.
 type Pool struct {
 	limits Limits
 	log    *zerolog.Logger
 	count  *Counters
 
 	mu    sync.Mutex
-	idle  map[netip.AddrPort][]*link
+	idle  map[*routing.Server][]*link
 	total int // idle, in use and being dialled
 	timer *time.Timer
 	armed bool
@@ -41,7 +47,7 @@
 
 // NewPool makes an empty pool.
 func NewPool(limits Limits, log *zerolog.Logger, count *Counters) *Pool {
-	p := &Pool{limits: limits, log: log, count: count, idle: map[netip.AddrPort][]*link{}}
+	p := &Pool{limits: limits, log: log, count: count, idle: map[*routing.Server][]*link{}}
 	p.timer = time.AfterFunc(time.Hour, p.retire)
 	return p
 }
@@ -51,17 +57,21 @@
 // errFull is that no descriptor is left for one more connection.
 var errFull = errors.New("no descriptor left")
 
-// take is the idle connection to a server that was last used, or nil.
-func (p *Pool) take(addr netip.AddrPort) *link {
+// take is the idle connection to a server that was last used, but for those that came back only just: bytes that
+// a server sends right behind an answer must be seen before the next execution, whose answer they would pass for.
+func (p *Pool) take(s *routing.Server) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		stack := p.idle[addr]
-		if len(stack) == 0 {
+	for stack := p.idle[s]; len(stack) > 0; stack = p.idle[s] {
+		i := len(stack) - 1
+		for i >= 0 && time.Since(stack[i].idleAt) < settleFor {
+			i--
+		}
+		if i < 0 {
 			return nil
 		}
-		l := stack[len(stack)-1]
-		p.idle[addr] = stack[:len(stack)-1]
+		l := stack[i]
+		p.idle[s] = slices.Delete(stack, i, i+1)
 		if p.limits.Idle > 0 && time.Since(l.idleAt) >= p.retirement() {
 			p.drop(l, idled)
 		} else if !l.sound() {
@@ -70,10 +80,11 @@
 			return l
 		}
 	}
+	return nil
 }
 
 // dial makes a new connection.
-func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*link, error) {
+func (p *Pool) dial(ctx context.Context, s *routing.Server) (*link, error) {
 	p.mu.Lock()
 	if p.total >= p.limits.side() && !p.evict() {
 		p.mu.Unlock()
@@ -83,7 +94,7 @@
 	p.mu.Unlock()
 	p.count.Dialled.Add(1)
 	d := net.Dialer{Timeout: p.limits.Connect, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", addr.String())
+	c, err := d.DialContext(ctx, "tcp", s.Addr.String())
 	if err != nil {
 		p.mu.Lock()
 		p.total--
@@ -92,7 +103,7 @@
 	}
 	conn := c.(*net.TCPConn)
 	size, sock := p.limits.ring(), newSocket(conn)
-	return &link{conn: conn, sock: sock, addr: addr, in: newRing(conn, sock, size),
+	return &link{conn: conn, sock: sock, server: s, in: newRing(conn, sock, size),
 		out: newRing(conn, newSocket(conn), size), began: time.Now()}, nil
 }
 
@@ -108,7 +119,7 @@
 	l.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[l.addr] = append(p.idle[l.addr], l)
+	p.idle[l.server] = append(p.idle[l.server], l)
 	if p.limits.Idle > 0 && !p.armed {
 		p.armed = true
 		p.timer.Reset(p.retirement())
@@ -125,7 +136,7 @@
 func (p *Pool) drop(l *link, why reason) {
 	p.total--
 	l.conn.Close()
-	logEnd(p.log, "server", l.addr.String(), why, l.began, l.used)
+	logEnd(p.log, "server", l.server.Addr.String(), why, l.began, l.used)
 }
 
 // evict closes the connection that has been idle longest.
@@ -139,7 +150,7 @@
 	if oldest == nil {
 		return false
 	}
-	p.idle[oldest.addr] = p.idle[oldest.addr][1:]
+	p.idle[oldest.server] = p.idle[oldest.server][1:]
 	p.drop(oldest, evicted)
 	return true
 }
@@ -149,7 +160,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := time.Duration(-1)
-	for addr, stack := range p.idle {
+	for s, stack := range p.idle {
 		kept := stack[:0]
 		for _, l := range stack {
 			age := time.Since(l.idleAt)
@@ -167,9 +178,9 @@
 			kept = append(kept, l)
 		}
 		if clear(stack[len(kept):]); len(kept) == 0 {
-			delete(p.idle, addr)
+			delete(p.idle, s)
 		} else {
-			p.idle[addr] = kept
+			p.idle[s] = kept
 		}
 	}
 	if p.armed = next >= 0; p.armed {
@@ -178,15 +189,15 @@
 }
 
 // Keep closes what is idle to servers that are not in service any more.
-func (p *Pool) Keep(inService func(netip.AddrPort) bool) {
+func (p *Pool) Keep(inService func(*routing.Server) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, stack := range p.idle {
-		if !inService(addr) {
+	for s, stack := range p.idle {
+		if !inService(s) {
 			for _, l := range stack {
 				p.drop(l, serverDropped)
 			}
-			delete(p.idle, addr)
+			delete(p.idle, s)
 		}
 	}
 }
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -41,6 +41,13 @@
 	return ring{conn: conn, sock: sock, buf: make([]byte, size)}
 }
 
+// make gives a ring its buffer, if it has none yet.
+func (g *ring) make(size int) {
+	if g.buf == nil {
+		g.buf = make([]byte, size)
+	}
+}
+
 // Wait waits until a byte is there.
 func (g *ring) Wait() error {
 	for g.r == g.w && g.err == nil {
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -49,6 +49,14 @@
 	return len(p), nil
 }
 
+// ready waits until there is something to read, or the connection ended.
+func (s *socket) ready() {
+	s.raw.Read(func(fd uintptr) bool {
+		s.tryLook(fd)
+		return !s.quiet
+	})
+}
+
 // silent tells whether the connection is open with nothing to read.
 func (s *socket) silent() bool {
 	return s.raw.Read(s.look) == nil && s.quiet
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"cherrygap/internal/protocol"
@@ -76,7 +78,7 @@
 }
 
 func (w *worker) try(c routing.Choice, q *protocol.Request, until time.Time) protocol.Reply {
-	l := w.pool.take(c.Server.Addr)
+	l := w.pool.take(c.Server)
 	if l == nil {
 		ctx, cancel := context.WithDeadline(context.Background(), until)
 		defer cancel()
@@ -84,8 +86,9 @@
 			return protocol.Reply{Outcome: protocol.Unsent}
 		}
 		var err error
-		l, err = w.pool.dial(ctx, c.Server.Addr)
-		if called := w.end(); err != nil && called {
+		l, err = w.pool.dial(ctx, c.Server)
+		// What this node lacks says nothing of the server, which would rest for it.
+		if called := w.end(); err != nil && (called || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
 			return protocol.Reply{Outcome: protocol.Unsent}
 		}
 		if err != nil {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -125,10 +125,9 @@
 	for _, l := range list {
 		i := n.serverOf.find(l.Server)
 		if i < 0 {
-			i = n.serverOf.add(l.Server)
 			// Nodes that start alike must not all begin at the same servers.
-			n.servers = append(n.servers, appServer{Listing: l, by: make([]standing, len(n.bands)),
-				sentNow: n.chance.unit(), turn: (n.chance.unit() - 0.5) * l.Weight * float64(max(len(list), n.ready))})
+			i = n.meet(appServer{Listing: l, by: make([]standing, len(n.bands)), sentNow: n.chance.unit(),
+				turn: (n.chance.unit() - 0.5) * l.Weight * float64(max(len(list), n.ready))})
 		}
 		s := &n.servers[i]
 		if s.Started != l.Started { // a new process: what the old one did says nothing
@@ -964,6 +963,7 @@
 	n.admitted, n.completed, n.ended, n.latency, n.tails = 0, 0, 0, 0, n.tails[:0]
 	n.began, n.intervalAt = n.now, n.now+interval
 	n.ageOut()
+	n.forget()
 }
 
 // ageOut forgets customers that have long been idle, once their stores are surely full.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -350,3 +350,26 @@
 		}
 	}
 }
+
+// New servers replace old ones all day: what is gone, with no ticket open that knows it, leaves no slot behind.
+func TestServersThatAreGoneLeaveNothing(t *testing.T) {
+	n := plain(0, nil)
+	now := Second
+	for k := range uint32(300) {
+		now += interval / 3
+		n.Clock(now)
+		n.Roster(Change, []Listing{{Server: k, State: Ready, Weight: 1}, {Server: k - 4, State: Gone}})
+		n.Take(Arrival{ID: k, Left: 4 * Second, Units: 1, Spread: 1})
+		for _, d := range pull(n, Send) {
+			if d.Server+4 <= k || d.Server > k {
+				t.Fatalf("sent to server %d at %d", d.Server, k)
+			}
+		}
+		if k >= 9 { // answers come late, from servers that are gone
+			n.Ended(Result{Ticket: k - 9, Outcome: OK, Took: 3 * Second, Settled: true})
+		}
+	}
+	if len(n.servers) > 30 || len(n.serverOf.of) > 30 || len(n.tickets) > 30 {
+		t.Errorf("%d servers, %d tickets", len(n.servers), len(n.tickets))
+	}
+}
--- a/rules/types.go
+++ b/rules/types.go
@@ -266,6 +266,8 @@
 type appServer struct {
 	Listing
 	known   bool
+	live    bool // the slot is in use
+	named   bool // by an open ticket, as of this sweep
 	open    int
 	pace    faded // latencies over their band's usual one
 	turn    float64
@@ -529,6 +531,36 @@
 	return i
 }
 
+// meet gives a server that was not known a slot.
+func (n *Node) meet(s appServer) int32 {
+	i := n.serverOf.add(s.Server)
+	if int(i) == len(n.servers) {
+		n.servers = append(n.servers, appServer{})
+	}
+	n.servers[i], n.servers[i].live = s, true
+	return i
+}
+
+// forget frees the slots of servers that the roster names no more, once no open ticket does. It guards against
+// days on which new servers replace old ones all the time: each pick looks at every slot.
+func (n *Node) forget() {
+	for i := range n.tickets {
+		for _, x := range n.tickets[i].runs {
+			if n.tickets[i].live {
+				n.servers[x.server].named = true
+			}
+		}
+	}
+	for i := range n.servers {
+		s := &n.servers[i]
+		if s.live && !s.known && !s.named {
+			n.serverOf.drop(s.Server)
+			*s = appServer{}
+		}
+		s.named = false
+	}
+}
+
 // Started notes that an answer has begun: the client owns the execution now.
 func (n *Node) Started(id uint32) {
 	if i := n.ticketOf.find(id); i >= 0 {
@@ -631,7 +663,7 @@
 // free gives a ticket's slot back, once it is not queued any more.
 func (n *Node) free(i int32) {
 	if t := &n.tickets[i]; t.live {
-		t.live = false
+		t.live, t.runs = false, t.runs[:0] // their servers may be forgotten from now on
 		if !t.queued {
 			n.ticketOf.drop(t.id)
 		}
