A broken connection is judged as a time-out is, two in a row, and is no sign of pressure

At fault: rules.go judge (one Reset rested a server for all bands, doubling) and Ended (a Reset counted as a whole contract time). Now a Reset counts as a time-out or a spoilt answer does; only what ended as completed, full or timed out tells of a queue.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -99,10 +99,7 @@
 	n.wide = float64(n.nodes-1) > wideAt*set.Num("peers.take")*secs(tellEvery)
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
 	n.bands, n.plans = readBands(set), readPlans(set)
-	n.contract = n.bands[0].contract
-	for _, b := range n.bands {
-		n.contract = min(n.contract, b.contract)
-	}
+	n.contract = slices.MinFunc(n.bands, func(a, b band) int { return int(a.contract - b.contract) }).contract
 	if set["roster"] == "ask" {
 		n.watchAt = now
 	}
@@ -193,7 +190,7 @@
 	}
 	n.judge(s, t.band, seen, r.Took)
 	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
-	if seen == OK || !lone && !lost && seen != Moot && seen != Withdrawn && seen != Failed && seen != Spoilt {
+	if seen == OK || !lone && !lost && (seen == Full || seen == TimedOut) { // a break tells of no queue
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
@@ -249,12 +246,12 @@
 		at.heard = n.now
 		at.misses++
 		n.rest(at)
-	case Unreached, Reset:
+	case Unreached:
 		for k := range s.by {
 			s.by[k].misses++
 			n.rest(&s.by[k])
 		}
-	case TimedOut, Spoilt: // any server's answer may be spoilt: one alone tells little
+	case TimedOut, Spoilt, Reset: // any server's answer may be spoilt, any link cut: one alone tells little
 		if at.misses++; trial || at.misses >= missesMost {
 			n.rest(at)
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -334,18 +334,18 @@
 	}
 }
 
-// Where any server's answers are spoilt now and then, one says little of it: it stays in the rotation, and its
-// time is no sign of pressure. Two in a row tell, of that band.
-func TestOneSpoiltAnswerRestsNoServer(t *testing.T) {
+// Where any server's answers are spoilt or broken off now and then, one says little of it: it stays in the rotation,
+// and its time is no sign of pressure. Two in a row tell, of that band.
+func TestOneBadAnswerRestsNoServer(t *testing.T) {
 	n := plain(1, Settings{"band.count": "2", "band.1.contract": "6000", "executions": "1"})
-	for id, o := range []Outcome{Spoilt, OK, Spoilt, Spoilt} {
+	for id, o := range []Outcome{Spoilt, OK, Reset, OK, Spoilt, Reset} {
 		n.Take(Arrival{ID: uint32(id), Left: 2 * Second, Units: 1, Spread: 1})
 		d := pull(n, Send)[0]
 		n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Outcome: o, Took: 500, Settled: o == OK})
-		if got := n.suspect(&n.servers[0].by[0]); got != (id == 3) || n.suspect(&n.servers[0].by[1]) || n.ended > 1 {
+		if got := n.suspect(&n.servers[0].by[0]); got != (id == 5) || n.suspect(&n.servers[0].by[1]) || n.ended > 2 {
 			t.Fatalf("after end %d the server rests: %v", id, got)
 		}
-		if o == Spoilt && pull(n, Bounce) == nil {
+		if o != OK && pull(n, Bounce) == nil {
 			t.Fatal("no answer at once")
 		}
 	}
