A request's last byte goes by itself, so that a connection that has died breaks before it

PROTOCOL: what breaks before the last byte is written has never run, and an execution counts when its last byte has come.

--- a/internal/transport/ends.go
+++ b/internal/transport/ends.go
@@ -25,6 +25,7 @@
 	nodeDrains     reason = "node-drains"
 	evicted        reason = "evicted"
 	serverClosed   reason = "server-closed"
+	serverStale    reason = "server-stale"
 	serverLast     reason = "server-last"
 	serverBroken   reason = "server-broken"
 	serverBad      reason = "server-bad"
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -17,9 +17,10 @@
 
 // Times of clients, who are owed an answer or a close within 3 s of connecting.
 const (
-	messageBy = 2 * time.Second        // for the first message from the connection on, for others from their begin
-	askWithin = 100 * time.Millisecond // for the first byte of the first, before others' needs go first
-	lingerFor = 250 * time.Millisecond // for who was refused to take the answer in
+	messageBy   = 2 * time.Second        // for the first message from the connection on, for others from their begin
+	askWithin   = 100 * time.Millisecond // for the first byte of the first, before others' needs go first
+	breakWithin = 3 * time.Millisecond   // in which a connection that has died shows it, once written to
+	lingerFor   = 250 * time.Millisecond // for who was refused to take the answer in
 )
 
 var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lookahead) }}
@@ -137,10 +138,13 @@
 }
 
 // Flush writes all that is in the ring. An error stays.
-func (g *ring) Flush() error {
-	for g.r < g.w && g.err == nil {
+func (g *ring) Flush() error { return g.FlushBut(0) }
+
+// FlushBut writes all but the last bytes.
+func (g *ring) FlushBut(k int) error {
+	for g.r < g.w-k && g.err == nil {
 		at := g.r % len(g.buf)
-		n, err := g.sock.Write(g.buf[at:min(len(g.buf), at+g.w-g.r)])
+		n, err := g.sock.Write(g.buf[at:min(len(g.buf), at+g.w-k-g.r)])
 		g.r += n
 		g.err = err
 	}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -18,7 +18,8 @@
 	err        error
 	in, out    func(fd uintptr) bool
 	look       func(fd uintptr) bool
-	quiet      bool
+	quiet      bool // as of the last look
+	ended      bool
 	lookedInto [1]byte
 }
 
@@ -49,12 +50,13 @@
 	return len(p), nil
 }
 
-// ready waits until there is something to read, or the connection ended.
-func (s *socket) ready() {
-	s.raw.Read(func(fd uintptr) bool {
+// ready waits until there is something to read or the connection ended, and tells whether it ended.
+func (s *socket) ready() (ended bool) {
+	err := s.raw.Read(func(fd uintptr) bool {
 		s.tryLook(fd)
 		return !s.quiet
 	})
+	return err == nil && s.ended
 }
 
 // silent tells whether the connection is open with nothing to read.
@@ -87,8 +89,9 @@
 }
 
 func (s *socket) tryLook(fd uintptr) bool {
-	_, err := call(syscall.SYS_RECVFROM, fd, s.lookedInto[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, err := call(syscall.SYS_RECVFROM, fd, s.lookedInto[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	s.quiet = err == syscall.EAGAIN
+	s.ended = err != 0 && !s.quiet || err == 0 && n == 0
 	return true
 }
 
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -78,45 +78,53 @@
 }
 
 func (w *worker) try(c routing.Choice, q *protocol.Request, until time.Time) protocol.Reply {
-	l := w.pool.take(c.Server)
-	if l == nil {
-		ctx, cancel := context.WithDeadline(context.Background(), until)
-		defer cancel()
-		if !w.begin(c.Nth, nil, cancel) {
+	var l *link
+	for kept := true; kept; {
+		if l = w.pool.take(c.Server); l == nil {
+			kept = false
+			ctx, cancel := context.WithDeadline(context.Background(), until)
+			defer cancel()
+			if !w.begin(c.Nth, nil, cancel) {
+				return protocol.Reply{Outcome: protocol.Unsent}
+			}
+			var err error
+			l, err = w.pool.dial(ctx, c.Server)
+			// What this node lacks says nothing of the server, which would rest for it.
+			if called := w.end(); err != nil && (called || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
+				return protocol.Reply{Outcome: protocol.Unsent}
+			}
+			if err != nil {
+				return protocol.Reply{Outcome: protocol.Unconnected}
+			}
+		}
+		// A dial takes time, in which the server may have begun to drain.
+		if !w.router.MayStart(c.Server) {
+			w.pool.put(l)
 			return protocol.Reply{Outcome: protocol.Unsent}
 		}
-		var err error
-		l, err = w.pool.dial(ctx, c.Server)
-		// What this node lacks says nothing of the server, which would rest for it.
-		if called := w.end(); err != nil && (called || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
+		l.conn.SetDeadline(until)
+		if !w.begin(c.Nth, l, nil) {
+			w.pool.put(l)
 			return protocol.Reply{Outcome: protocol.Unsent}
 		}
-		if err != nil {
+		l.out.took(protocol.AppendExecution(l.out.room(), q, time.Until(until)))
+		l.out.Write(q.Body)
+		whole := w.send(l, until)
+		switch {
+		case whole:
+			kept = false
+		case w.end():
+			w.pool.end(l, withdrawn)
+			return protocol.Reply{Outcome: protocol.Unsent}
+		case kept: // it had died since its last answer, and says nothing of the server: no execution has begun
+			w.pool.end(l, serverStale)
+		default: // not whole: it never ran
+			w.pool.end(l, serverBroken)
 			return protocol.Reply{Outcome: protocol.Unconnected}
 		}
 	}
-	// A dial takes time, in which the server may have begun to drain.
-	if !w.router.MayStart(c.Server) {
-		w.pool.put(l)
-		return protocol.Reply{Outcome: protocol.Unsent}
-	}
-	l.conn.SetDeadline(until)
-	if !w.begin(c.Nth, l, nil) {
-		w.pool.put(l)
-		return protocol.Reply{Outcome: protocol.Unsent}
-	}
 	w.pool.count.Sent.Add(1)
 	l.used++
-	l.out.took(protocol.AppendExecution(l.out.room(), q, time.Until(until)))
-	l.out.Write(q.Body)
-	if l.out.Flush() != nil { // not whole: it never ran
-		if w.end() {
-			w.pool.end(l, withdrawn)
-			return protocol.Reply{Outcome: protocol.Unsent}
-		}
-		w.pool.end(l, serverBroken)
-		return protocol.Reply{Outcome: protocol.Unconnected}
-	}
 	br := parsers.Get().(*bufio.Reader)
 	br.Reset(&l.in)
 	l.in.Allow(protocol.MostHead + 4*protocol.MostBody)
@@ -151,6 +159,24 @@
 	return reply
 }
 
+// send writes a request, its last byte by itself: what breaks before that has never run, and a connection that a
+// server has given up breaks as soon as the rest comes. Written at once, it would break after the last byte and so
+// may have run, which costs a single-use ticket. It tells whether all was written.
+func (w *worker) send(l *link, until time.Time) bool {
+	if l.out.FlushBut(1) != nil {
+		return false
+	}
+	l.conn.SetReadDeadline(time.Now().Add(breakWithin))
+	broken := l.sock.ready() // an answer that comes early is left for its reader
+	w.mu.Lock()
+	called := w.called == w.nth
+	if !called { // else the deadline is past, and stays so
+		l.conn.SetDeadline(until)
+	}
+	w.mu.Unlock()
+	return !broken && !called && l.out.Flush() == nil
+}
+
 // trim gives up a buffer that one large body made large.
 func trim(b []byte) []byte {
 	if cap(b) > leastRing {
