After a connection died idle, those idle for half as long are not used for ten seconds

At fault: pool.go take, which trusts the settings' idle time and a peek. Now a kept connection that breaks within 10 ms of a request sets a trust of half its idle time for 10 s; older ones are closed.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -20,6 +20,12 @@
 // settleFor is how long a connection stays out of use after an answer.
 const settleFor = 2 * time.Millisecond
 
+// A connection that breaks so soon after a request was written had died before; it is remembered for a while.
+const (
+	diedWithin = 10 * time.Millisecond
+	waryFor    = 10 * time.Second
+)
+
 // link is one connection to an app server.
 type link struct {
 	conn    *net.TCPConn
@@ -43,6 +49,9 @@
 	total int // idle, in use and being dialled
 	timer *time.Timer
 	armed bool
+
+	wary  time.Time     // until then
+	trust time.Duration // what has been idle for so long is not used
 }
 
 // NewPool makes an empty pool.
@@ -72,7 +81,8 @@
 		}
 		l := stack[i]
 		p.idle[s] = slices.Delete(stack, i, i+1)
-		if p.limits.Idle > 0 && time.Since(l.idleAt) >= p.retirement() {
+		if age := time.Since(l.idleAt); p.limits.Idle > 0 && age >= p.retirement() ||
+			age >= p.trust && time.Now().Before(p.wary) {
 			p.drop(l, idled)
 		} else if !l.sound() {
 			p.drop(l, serverClosed)
@@ -83,6 +93,21 @@
 	return nil
 }
 
+// distrust notes that a connection broke as soon as it was used after it had been idle for so long: for a while
+// none that has been idle for half of that is used. It guards against servers, or what lies between, that give up
+// idle connections without a word long before the time in the settings; an execution on one may have run. It could
+// harm where connections break whatever their age: then new ones are made, which cost their servers a little.
+func (p *Pool) distrust(idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now(); now.Before(p.wary) {
+		p.trust = min(p.trust, idle/2)
+	} else {
+		p.trust = idle / 2
+	}
+	p.wary = time.Now().Add(waryFor)
+}
+
 // dial makes a new connection.
 func (p *Pool) dial(ctx context.Context, s *routing.Server) (*link, error) {
 	p.mu.Lock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -274,6 +274,81 @@
 	}
 }
 
+// Servers may give up idle connections without a word, long before the time in the settings: one that breaks at
+// its next use is a warning of the others, or each would cost a single-use ticket.
+func TestConnectionsThatDieIdleAreNotTrusted(t *testing.T) {
+	first := map[string]bool{}
+	var mu sync.Mutex
+	b := start(t, "single-use", roomy, 1, func(conn net.Conn, q *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		from := conn.RemoteAddr().String()
+		if first[from] {
+			io.ReadAll(q.Body)
+			return false
+		}
+		first[from] = true
+		return echo(conn, q)
+	})
+	failed := 0
+	for range 12 {
+		if status, _, _ := ask(t, b.dial(t), ticketText(3000, "x")); status != 200 {
+			failed++
+		}
+		time.Sleep(4 * settleFor)
+	}
+	if failed != 1 {
+		t.Errorf("%d of 12 tickets failed", failed)
+	}
+}
+
+// What breaks before a request's last byte has never run, and the execution goes on over a new connection.
+func TestConnectionThatBreaksBeforeTheLastByte(t *testing.T) {
+	var conns atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				br := bufio.NewReader(conn)
+				for k := 0; ; k++ {
+					if _, err := br.Peek(1); err != nil || conns.Load() == 1 && k == 1 {
+						return // reset at the second request's first bytes
+					}
+					q, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if k == 0 {
+						conns.Add(1)
+					}
+					echo(conn, q)
+				}
+			}()
+		}
+	}()
+	b := start(t, "single-use", roomy, 0, nil)
+	b.front.router.Listed(&protocol.List{All: true, Targets: []protocol.Target{{UID: "s", Weight: 1,
+		Endpoint: netip.MustParseAddrPort(ln.Addr().String())}}}, false)
+	for range 2 {
+		if status, body, _ := ask(t, b.dial(t), ticketText(3000, "body")); status != 200 || body != "body" {
+			t.Errorf("status %d, %q", status, body)
+		}
+		time.Sleep(2 * settleFor)
+	}
+	if conns.Load() != 2 || !b.log.has(string(serverStale)) || b.count.Ends[protocol.Unconnected].Load() != 0 {
+		t.Errorf("%d connections", conns.Load())
+	}
+}
+
 // A second copy of an answer, a moment late, would pass for the next ticket's: a connection first rests.
 func TestConnectionRestsAfterAnAnswer(t *testing.T) {
 	b := start(t, "single-use", roomy, 1, echo)
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -117,6 +117,7 @@
 			w.pool.end(l, withdrawn)
 			return protocol.Reply{Outcome: protocol.Unsent}
 		case kept: // it had died since its last answer, and says nothing of the server: no execution has begun
+			w.pool.distrust(time.Since(l.idleAt))
 			w.pool.end(l, serverStale)
 		default: // not whole: it never ran
 			w.pool.end(l, serverBroken)
@@ -125,6 +126,7 @@
 	}
 	w.pool.count.Sent.Add(1)
 	l.used++
+	sent, came := time.Now(), l.in.w
 	br := parsers.Get().(*bufio.Reader)
 	br.Reset(&l.in)
 	l.in.Allow(protocol.MostHead + 4*protocol.MostBody)
@@ -153,6 +155,9 @@
 		reply = protocol.Reply{Outcome: protocol.TimedOut}
 		w.pool.end(l, serverLate)
 	default:
+		if age := time.Since(sent); l.used > 1 && l.in.w == came && age < diedWithin {
+			w.pool.distrust(sent.Sub(l.idleAt))
+		}
 		reply = protocol.Reply{Outcome: protocol.Broken}
 		w.pool.end(l, serverBroken)
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -190,7 +190,7 @@
 	}
 	n.judge(s, t.band, seen, r.Took)
 	lost := r.Outcome == TimedOut && float64(r.Took) > silentAfter*n.usualOf(b) // see pressing
-	if seen == OK || !lone && !lost && (seen == Full || seen == TimedOut) { // a break tells of no queue
+	if seen == OK || !lone && !lost && (seen == Full || seen == TimedOut) {     // a break tells of no queue
 		part := float64(r.Took) / float64(b.contract)
 		if r.Outcome != OK {
 			part = 1 // no answer: as much as a whole contract time, whatever time it took
