A new connection that breaks before a request's last byte is made once more

Seen: 106 new connections reset by servers, each reported as no connection, which rests a server for all bands at once (rules.go judge, Unreached).

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -24,6 +24,7 @@
 const (
 	diedWithin = 10 * time.Millisecond
 	waryFor    = 10 * time.Second
+	mostFresh  = 2 // new connections for one execution, which has not begun before its last byte
 )
 
 // link is one connection to an app server.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -349,6 +349,33 @@
 	}
 }
 
+// A server that accepts and closes is tried twice; then it is as if no connection came up.
+func TestNewConnectionsThatBreak(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var came atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			came.Add(1)
+			conn.Close()
+		}
+	}()
+	b := start(t, "single-use", roomy, 0, nil)
+	b.front.router.Listed(&protocol.List{All: true, Targets: []protocol.Target{{UID: "s", Weight: 1,
+		Endpoint: netip.MustParseAddrPort(ln.Addr().String())}}}, false)
+	status, _, _ := ask(t, b.dial(t), ticketText(3000, "x"))
+	if k := b.count.Ends[protocol.Unconnected].Load(); status != 503 || k == 0 || came.Load() != mostFresh*k {
+		t.Errorf("status %d, %d connections in %d executions", status, came.Load(), k)
+	}
+}
+
 // A second copy of an answer, a moment late, would pass for the next ticket's: a connection first rests.
 func TestConnectionRestsAfterAnAnswer(t *testing.T) {
 	b := start(t, "single-use", roomy, 1, echo)
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -77,49 +77,59 @@
 	return reply, routing.End{Outcome: reply.Outcome, Took: took, Units: reply.Units, Use: reply.Use}
 }
 
+// connect finds a connection to the choice's server, kept or new; without one it tells how the execution ended.
+func (w *worker) connect(c routing.Choice, until time.Time) (*link, protocol.Outcome) {
+	l := w.pool.take(c.Server)
+	if l == nil {
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		if !w.begin(c.Nth, nil, cancel) {
+			return nil, protocol.Unsent
+		}
+		var err error
+		l, err = w.pool.dial(ctx, c.Server)
+		// What this node lacks says nothing of the server, which would rest for it.
+		if called := w.end(); err != nil && (called || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
+			return nil, protocol.Unsent
+		}
+		if err != nil {
+			return nil, protocol.Unconnected
+		}
+	}
+	l.conn.SetDeadline(until)
+	// A dial takes time, in which the server may have begun to drain, or the execution been withdrawn.
+	if !w.router.MayStart(c.Server) || !w.begin(c.Nth, l, nil) {
+		w.pool.put(l)
+		return nil, protocol.Unsent
+	}
+	return l, protocol.Completed
+}
+
 func (w *worker) try(c routing.Choice, q *protocol.Request, until time.Time) protocol.Reply {
 	var l *link
-	for kept := true; kept; {
-		if l = w.pool.take(c.Server); l == nil {
-			kept = false
-			ctx, cancel := context.WithDeadline(context.Background(), until)
-			defer cancel()
-			if !w.begin(c.Nth, nil, cancel) {
-				return protocol.Reply{Outcome: protocol.Unsent}
-			}
-			var err error
-			l, err = w.pool.dial(ctx, c.Server)
-			// What this node lacks says nothing of the server, which would rest for it.
-			if called := w.end(); err != nil && (called || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
-				return protocol.Reply{Outcome: protocol.Unsent}
-			}
-			if err != nil {
-				return protocol.Reply{Outcome: protocol.Unconnected}
-			}
+	for fresh := 0; ; {
+		var o protocol.Outcome
+		if l, o = w.connect(c, until); l == nil {
+			return protocol.Reply{Outcome: o}
 		}
-		// A dial takes time, in which the server may have begun to drain.
-		if !w.router.MayStart(c.Server) {
-			w.pool.put(l)
-			return protocol.Reply{Outcome: protocol.Unsent}
-		}
-		l.conn.SetDeadline(until)
-		if !w.begin(c.Nth, l, nil) {
-			w.pool.put(l)
-			return protocol.Reply{Outcome: protocol.Unsent}
+		if l.used == 0 {
+			fresh++
 		}
 		l.out.took(protocol.AppendExecution(l.out.room(), q, time.Until(until)))
 		l.out.Write(q.Body)
-		whole := w.send(l, until)
-		switch {
-		case whole:
-			kept = false
-		case w.end():
+		if w.send(l, until) {
+			break
+		}
+		switch called := w.end(); { // not whole: it never ran
+		case called:
 			w.pool.end(l, withdrawn)
 			return protocol.Reply{Outcome: protocol.Unsent}
-		case kept: // it had died since its last answer, and says nothing of the server: no execution has begun
+		case l.used > 0: // it had died since its last answer, and says nothing of the server
 			w.pool.distrust(time.Since(l.idleAt))
 			w.pool.end(l, serverStale)
-		default: // not whole: it never ran
+		case fresh < mostFresh: // one that breaks at once may be chance; where servers do it, two seldom are
+			w.pool.end(l, serverBroken)
+		default:
 			w.pool.end(l, serverBroken)
 			return protocol.Reply{Outcome: protocol.Unconnected}
 		}
