A watch call is held for 1 s, so that one that is lost leaves no node deaf for 22 s

At fault: transport/watch.go holdFor, graceFor. Seen: one call open from 0.3 s to 22.3 s on all nodes, while six servers were replaced.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -800,8 +800,8 @@
 		Listed: func(l *protocol.List) { lists <- l }, Missed: func() {}}
 	go w.Run()
 	began := time.Now()
-	for _, want := range []string{"/v1/servers", "/v1/servers?from=5&hold_ms=20000", "/v1/servers?from=6&hold_ms=20000",
-		"/v1/servers?from=6&hold_ms=20000"} {
+	for _, want := range []string{"/v1/servers", "/v1/servers?from=5&hold_ms=1000", "/v1/servers?from=6&hold_ms=1000",
+		"/v1/servers?from=6&hold_ms=1000"} {
 		if got := <-calls; got != want {
 			t.Errorf("call %q, want %q", got, want)
 		}
@@ -814,6 +814,30 @@
 	}
 }
 
+// A call that discovery takes and never answers must not leave the node deaf for long: servers are replaced meanwhile.
+func TestWatchAsksAgainWhereACallIsLost(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var calls atomic.Int64
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if calls.Add(1) == 2 {
+			<-q.Context().Done()
+		}
+		io.WriteString(w, `{"rev":5,"targets":[]}`)
+	}))
+	log := zerolog.New(io.Discard)
+	w := &Watch{Addr: ln.Addr().String(), Limits: roomy, Log: &log, Count: &Counters{}, Listed: func(*protocol.List) {}}
+	began := time.Now()
+	go w.Run()
+	eventually(t, "another call", func() bool { return calls.Load() > 2 })
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("deaf for %v", took)
+	}
+}
+
 // Discovery moves: the watch leaves a call that is held, and asks the new address for the whole list.
 func TestWatchMoves(t *testing.T) {
 	calls := make(chan string, 9)
@@ -840,7 +864,7 @@
 		Listed: func(*protocol.List) {}, Missed: func() { missed.Store(true) }}
 	go w.Run()
 	for _, addr := range []string{addrs[0], addrs[1], addrs[0]} {
-		for _, uri := range []string{"/v1/servers", "/v1/servers?from=5&hold_ms=20000"} {
+		for _, uri := range []string{"/v1/servers", "/v1/servers?from=5&hold_ms=1000"} {
 			select {
 			case got := <-calls:
 				if got != addr+uri {
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -15,9 +15,9 @@
 
 // Times of the watch.
 const (
-	holdFor   = 20 * time.Second // a call waits so long for news
-	graceFor  = 2 * time.Second  // and its answer may be so much later
-	againLong = time.Second      // between calls that fail
+	holdFor   = time.Second // a call waits so long for news: one that is lost leaves the node deaf for as long
+	graceFor  = time.Second // and its answer may be so much later
+	againLong = time.Second // between calls that fail
 	againOnce = 50 * time.Millisecond
 )
 
