A server that turns away twice in a row rests, as one that times out does

At fault: rules.go judge, where Full left no mark. It covers throttled servers too; it could harm in an overload where all turn away: then all rest, and all are used.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -240,8 +240,6 @@
 	case OK:
 		*at = standing{open: at.open, heard: n.now, lost: at.lost, owed: at.owed}
 		s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
-	case Full:
-		at.heard = n.now
 	case Failed: // rare where all is well, so that one tells enough
 		at.heard = n.now
 		at.misses++
@@ -251,7 +249,7 @@
 			s.by[k].misses++
 			n.rest(&s.by[k])
 		}
-	case TimedOut, Spoilt, Reset: // any server's answer may be spoilt, any link cut: one alone tells little
+	case Full, TimedOut, Spoilt, Reset: // each may come of any server now and then: one alone tells little
 		if at.misses++; trial || at.misses >= missesMost {
 			n.rest(at)
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -373,3 +373,27 @@
 		t.Errorf("%d servers, %d tickets", len(n.servers), len(n.tickets))
 	}
 }
+
+// A server that turns away all, as one that drains before the roster says so, is quick at it and would draw ever
+// more tickets; each counts as pressure, and the limit falls. Two in a row rest it, as time-outs do.
+func TestServerThatTurnsAwayRests(t *testing.T) {
+	n := plain(4, nil)
+	now, sent := Second, 0
+	for id := range uint32(400) {
+		now += Second / 40
+		n.Clock(now)
+		n.Take(Arrival{ID: id, Left: 2 * Second, Units: 1, Spread: 1})
+		for d := pull(n, Send); len(d) > 0; d = pull(n, Send) {
+			if d[0].Server == 2 {
+				sent++
+				n.Ended(Result{Ticket: id, Nth: len(n.tickets[n.ticketOf.find(id)].runs) - 1, Server: 2, Outcome: Full, Took: 10})
+				continue
+			}
+			n.Ended(Result{Ticket: id, Nth: len(n.tickets[n.ticketOf.find(id)].runs) - 1, Server: d[0].Server, Outcome: OK, Took: 800,
+				Settled: true})
+		}
+	}
+	if sent > 40 || sent == 0 {
+		t.Errorf("%d of 400 tickets went to a server that turns them away", sent)
+	}
+}
