Tried: a client whose bytes wait to be read is not closed for others

The guess: a node short of CPU time closes clients whose request waits unread. Ruled out as well: the limit (lambda 100 to 190, admitted 50 to 130) and health (nothing suspected). Nodes take in about two thirds of the tries that clients make; open.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,8 +1,10 @@
 package transport
 
 import (
+	"cmp"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +31,8 @@
 	open     sync.WaitGroup
 	mu       sync.Mutex
 	clients  map[*client]struct{}
-	evicted  bool // one is being evicted
+	order    []*client // scratch
+	evicted  bool      // one is being evicted
 }
 
 // Listen starts to take in clients.
@@ -86,25 +89,29 @@
 	if f.evicted {
 		return
 	}
-	var oldest *client
+	idle := f.order[:0]
 	for c := range f.clients {
-		if c.idle.Load() && (oldest == nil || c.before(oldest)) {
-			oldest = c
+		if c.idle.Load() {
+			idle = append(idle, c)
 		}
 	}
-	if oldest != nil && oldest.idle.CompareAndSwap(true, false) {
-		f.evicted, oldest.leaves = true, true
-		oldest.end(evicted)
+	f.order = idle
+	slices.SortFunc(idle, (*client).before)
+	for _, c := range idle {
+		// Where the node has had no CPU time for a while, what was sent in time has not been read yet.
+		if !c.sock.pending() && c.idle.CompareAndSwap(true, false) {
+			f.evicted, c.leaves = true, true
+			c.end(evicted)
+			break
+		}
 	}
+	clear(f.order)
 }
 
-// before tells which of two idle connections is closed first: one that had its time to ask and did not, then the
+// before orders idle connections by which is closed first: one that had its time to ask and did not, then the
 // one that has been idle longest, and last one that has only come, whose request may be on its way.
-func (c *client) before(o *client) bool {
-	if a, b := c.standing(), o.standing(); a != b {
-		return a < b
-	}
-	return c.idleAt.Load() < o.idleAt.Load()
+func (c *client) before(o *client) int {
+	return cmp.Or(c.standing()-o.standing(), cmp.Compare(c.idleAt.Load(), o.idleAt.Load()))
 }
 
 func (c *client) standing() int {
