--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,10 +1,8 @@
 package transport
 
 import (
-	"cmp"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +29,7 @@
 	open     sync.WaitGroup
 	mu       sync.Mutex
 	clients  map[*client]struct{}
-	order    []*client // scratch
-	evicted  bool      // one is being evicted
+	evicted  bool // one is being evicted
 }
 
 // Listen starts to take in clients.
@@ -89,29 +86,25 @@
 	if f.evicted {
 		return
 	}
-	idle := f.order[:0]
+	var oldest *client
 	for c := range f.clients {
-		if c.idle.Load() {
-			idle = append(idle, c)
+		if c.idle.Load() && (oldest == nil || c.before(oldest)) {
+			oldest = c
 		}
 	}
-	f.order = idle
-	slices.SortFunc(idle, (*client).before)
-	for _, c := range idle {
-		// Where the node has had no CPU time for a while, what was sent in time has not been read yet.
-		if !c.sock.pending() && c.idle.CompareAndSwap(true, false) {
-			f.evicted, c.leaves = true, true
-			c.end(evicted)
-			break
-		}
+	if oldest != nil && oldest.idle.CompareAndSwap(true, false) {
+		f.evicted, oldest.leaves = true, true
+		oldest.end(evicted)
 	}
-	clear(f.order)
 }
 
-// before orders idle connections by which is closed first: one that had its time to ask and did not, then the
+// before tells which of two idle connections is closed first: one that had its time to ask and did not, then the
 // one that has been idle longest, and last one that has only come, whose request may be on its way.
-func (c *client) before(o *client) int {
-	return cmp.Or(c.standing()-o.standing(), cmp.Compare(c.idleAt.Load(), o.idleAt.Load()))
+func (c *client) before(o *client) bool {
+	if a, b := c.standing(), o.standing(); a != b {
+		return a < b
+	}
+	return c.idleAt.Load() < o.idleAt.Load()
 }
 
 func (c *client) standing() int {
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -59,16 +59,6 @@
 	return err == nil && s.ended
 }
 
-// pending tells whether there is something to read, also while another waits for it.
-func (s *socket) pending() (some bool) {
-	s.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, err := call(syscall.SYS_RECVFROM, fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == 0 && n > 0
-	})
-	return some
-}
-
 // silent tells whether the connection is open with nothing to read.
 func (s *socket) silent() bool {
 	return s.raw.Read(s.look) == nil && s.quiet
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -555,41 +555,6 @@
 	}
 }
 
-// A node that had no CPU time for a while has not read what came in time: no reason to close for others.
-func TestClientsWithBytesWaitingAreNotClosedForOthers(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	f := &Front{limits: roomy, clients: map[*client]struct{}{}}
-	var conns []net.Conn
-	var clients []*client
-	for k := range 2 { // nobody reads
-		conn, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		in, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := newClient(f, in.(*net.TCPConn))
-		c.began = c.began.Add(-askWithin)
-		c.idle.Store(true)
-		c.idleAt.Store(int64(k))
-		f.clients[c] = struct{}{}
-		conns, clients = append(conns, conn), append(clients, c)
-	}
-	io.WriteString(conns[0], "POST")
-	eventually(t, "bytes", clients[0].sock.pending)
-	f.evict()
-	if clients[0].why != "" || clients[1].why != evicted {
-		t.Errorf("closed: %q, %q", clients[0].why, clients[1].why)
-	}
-}
-
 // A client that has only come is not closed for others: its request is on its way.
 func TestNewClientsAreNotClosedForOthers(t *testing.T) {
 	limits := roomy
