--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/settings"
 	"cherrygap/internal/transport"
@@ -35,6 +37,7 @@
 	seed  uint64
 	known protocol.List
 	set   map[string]string
+	level zerolog.Level // from the operator file; the zero value is debug, so serve sets it
 }
 
 // readConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY hold over it.
--- /dev/null
+++ b/cmd/cherrygap/lab.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"cherrygap/internal/lab/emulator"
+	"cherrygap/internal/lab/load"
+	"cherrygap/internal/operator"
+)
+
+// newLab is the laboratory's commands. Each reads the operator file's [lab] part; flags hold over it.
+func newLab(opFile *string) *cobra.Command {
+	lab := &cobra.Command{Use: "lab", Short: "The laboratory: emulated app servers and open-loop load, on loopback only"}
+	lab.AddCommand(newEmulate(opFile), newLoad(opFile))
+	return lab
+}
+
+func labLog(op operator.File) zerolog.Logger {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	return zerolog.New(os.Stderr).Level(logLevel(op.Log.Level)).With().Timestamp().Logger()
+}
+
+// untilSignal gives a context that ends on SIGINT or SIGTERM, or after d when d is above 0.
+func untilSignal(d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	if d <= 0 {
+		return ctx, stop
+	}
+	ctx, cancel := context.WithTimeout(ctx, d)
+	return ctx, func() { cancel(); stop() }
+}
+
+func newEmulate(opFile *string) *cobra.Command {
+	var servers int
+	var listen, schedule string
+	var seed uint64
+	var runFor time.Duration
+	cmd := &cobra.Command{
+		Use:   "emulate",
+		Short: "Run emulated app servers with scripted faults until SIGINT/SIGTERM or --for",
+		Long: `Run app servers that speak the platform's HTTP/1.1 on loopback: bounded concurrency, queue and
+connections, log-normal service times (ms), warm-up when cold, drain with grace, load reports and probes,
+and the faults of a schedule file (docs/lab.md). Prints one JSON line with the servers' addresses, and at the
+end one with each server's counts. Defaults come from the operator file's [lab.emulator].`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := loadOperator(*opFile)
+			if err != nil {
+				return err
+			}
+			e := op.Lab.Emulator
+			if cmd.Flags().Changed("servers") {
+				e.Servers = servers
+			}
+			if cmd.Flags().Changed("listen") {
+				e.Listen = listen
+			}
+			if cmd.Flags().Changed("schedule") {
+				e.Schedule = schedule
+			}
+			if !cmd.Flags().Changed("seed") {
+				seed = op.Lab.Seed
+			}
+			var sched emulator.Schedule
+			if e.Schedule != "" {
+				if sched, err = emulator.LoadSchedule(e.Schedule, e.Servers); err != nil {
+					return err
+				}
+			}
+			log := labLog(op)
+			fleet, err := emulator.Start(e, seed, sched, log)
+			if err != nil {
+				return err
+			}
+			defer fleet.Close()
+			out := json.NewEncoder(cmd.OutOrStdout())
+			_ = out.Encode(map[string]any{"servers": fleet.Addrs(), "faults": len(sched.Faults)})
+			ctx, stop := untilSignal(runFor)
+			defer stop()
+			<-ctx.Done()
+			stats := make([]emulator.Stats, len(fleet.Servers))
+			for i, s := range fleet.Servers {
+				stats[i] = s.Stats()
+			}
+			return out.Encode(map[string]any{"stats": stats})
+		},
+	}
+	cmd.Flags().IntVar(&servers, "servers", 4, "how many servers (1 to 512)")
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "loopback address of the first server; port 0 for free ports")
+	cmd.Flags().StringVar(&schedule, "schedule", "", "fault schedule file (TOML); empty for none")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of every random draw")
+	cmd.Flags().DurationVar(&runFor, "for", 0, "stop after this long (e.g. 30s); 0 waits for a signal")
+	return cmd
+}
+
+func newLoad(opFile *string) *cobra.Command {
+	var target, series string
+	var rate, duration float64
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send open-loop load to an edge node or a server on loopback and summarise it",
+		Long: `Send tickets as the platform's clients do, at Poisson arrivals (tickets a second, with bursts) that
+do not wait for answers: latency (ms) counts from when each ticket was due. Bands, customers and retries
+come from the operator file's [lab.load]. Writes a JSON line a second to --series and a summary to standard
+output; "behind": true says the tool itself could not keep the rate (p99 of its lag above 10 ms).`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := loadOperator(*opFile)
+			if err != nil {
+				return err
+			}
+			l := op.Lab.Load
+			if cmd.Flags().Changed("target") {
+				l.Target = target
+			}
+			if cmd.Flags().Changed("rate") {
+				l.Rate = rate
+			}
+			if cmd.Flags().Changed("duration") {
+				l.DurationS = duration
+			}
+			if !cmd.Flags().Changed("seed") {
+				seed = op.Lab.Seed
+			}
+			// Flags pass the same checks as the file, so that a bad one names itself.
+			check := op
+			check.Lab.Load = l
+			if faults := check.Check(); len(faults) > 0 {
+				msgs := make([]string, len(faults))
+				for i, f := range faults {
+					msgs[i] = f.String()
+				}
+				return fmt.Errorf("%s", strings.Join(msgs, "; "))
+			}
+			tool := &load.Tool{Cfg: l, Seed: seed}
+			if series != "" {
+				f, err := os.Create(series)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				tool.Series = f
+			}
+			ctx, stop := untilSignal(0)
+			defer stop()
+			res, err := tool.Run(ctx)
+			if err != nil {
+				return err
+			}
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(res.Summary())
+		},
+	}
+	cmd.Flags().StringVar(&target, "target", "127.0.0.1:8080", "loopback address to send to")
+	cmd.Flags().Float64Var(&rate, "rate", 200, "mean arrivals, tickets a second")
+	cmd.Flags().Float64Var(&duration, "duration", 10, "how long arrivals go on, seconds")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of every random draw")
+	cmd.Flags().StringVar(&series, "series", "", "file for the JSON lines, one a second")
+	return cmd
+}
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -28,14 +29,22 @@
 )
 
 func main() {
-	c, err := readConfig()
-	if err == nil {
-		err = run(c)
+	if err := newRoot().Execute(); err != nil {
+		if !errors.Is(err, errShown) {
+			fmt.Fprintln(os.Stderr, "cherrygap:", err)
+		}
+		os.Exit(2)
 	}
+}
+
+// serve reads the platform's configuration and runs the node until it has drained.
+func serve(level zerolog.Level) error {
+	c, err := readConfig()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "cherrygap:", err)
-		os.Exit(2)
+		return err
 	}
+	c.level = level
+	return run(c)
 }
 
 // run wires the parts and stays until SIGTERM and the last answer.
@@ -48,7 +57,7 @@
 	// Who reads the log must not hold up tickets: lines that it is too slow for are lost and counted.
 	out := diode.NewWriter(struct{ io.Writer }{os.Stderr}, logLines, 0, func(n int) { count.LinesLost.Add(int64(n)) })
 	defer out.Close()
-	log := zerolog.New(out).With().Timestamp().Str("node", c.Name).Logger()
+	log := zerolog.New(out).Level(c.level).With().Timestamp().Str("node", c.Name).Logger()
 	limits := c.limits()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
