Fleet model in virtual time: N nodes on the real module through routing, M modelled servers

Change: internal/lab/model plays nodes, servers, the load tool's arrivals and the emulator's fault schedules from one event heap in virtual time. Policy module runs internal/routing over rules; baselines round-robin (static limit) and late (least busy as seen a second ago) decide in the model only, with the same plain per-customer bucket. routing takes an optional Clock and a Ready hook with a non-blocking Poll, so that one event loop can drive it; with neither set the node behaves as before. The load tool's plan is a stream, so an hour of arrivals is never held. cherrygap lab model runs it.

--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -15,13 +15,14 @@
 
 	"cherrygap/internal/lab/emulator"
 	"cherrygap/internal/lab/load"
+	"cherrygap/internal/lab/model"
 	"cherrygap/internal/operator"
 )
 
 // newLab is the laboratory's commands. Each reads the operator file's [lab] part; flags hold over it.
 func newLab(opFile *string) *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "The laboratory: emulated app servers and open-loop load, on loopback only"}
-	lab.AddCommand(newEmulate(opFile), newLoad(opFile))
+	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile))
 	return lab
 }
 
@@ -168,3 +169,86 @@
 	cmd.Flags().StringVar(&series, "series", "", "file for the JSON lines, one a second")
 	return cmd
 }
+
+func newModel(opFile *string) *cobra.Command {
+	var nodes, servers int
+	var seconds, rate float64
+	var seed uint64
+	var policy, schedule, series, platform string
+	cmd := &cobra.Command{
+		Use:   "model",
+		Short: "Play a fleet in virtual time: N nodes on the real module (or a baseline), M modelled servers",
+		Long: `Play the fleet in virtual time, one event at a time: each of --nodes edge nodes runs the real decision
+module through internal/routing (policy "module"), or a baseline ("round-robin" with a static limit, "late":
+least busy as seen a second ago), against --servers modelled app servers with the emulator's figures and
+fault schedule. Arrivals are the load tool's, at --rate tickets a second for the whole fleet. Prints the
+totals as one JSON line (goodput, p50/p99 in ms, single-use tickets run twice, tickets left unanswered,
+virtual seconds per real second); --series writes one JSON line per virtual second for "lab report".
+The same flags and seed give the same run. Figures are of simulated servers.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := loadOperator(*opFile)
+			if err != nil {
+				return err
+			}
+			if !cmd.Flags().Changed("seed") {
+				seed = op.Lab.Seed
+			}
+			srv := op.Lab.Emulator
+			srv.Servers = servers
+			tr := op.Lab.Load
+			tr.Rate = rate
+			if schedule == "" {
+				schedule = srv.Schedule
+			}
+			var sched emulator.Schedule
+			if schedule != "" {
+				if sched, err = emulator.LoadSchedule(schedule, servers); err != nil {
+					return err
+				}
+			}
+			cfg := model.Config{Nodes: nodes, Seconds: seconds, Policy: model.Policy(policy), Seed: seed,
+				Traffic: tr, Server: srv, Schedule: sched}
+			if platform != "" {
+				raw, err := os.ReadFile(platform)
+				if err != nil {
+					return err
+				}
+				c, err := parseConfig(raw, func(string) string { return "" })
+				if err != nil {
+					return fmt.Errorf("%s: %w", platform, err)
+				}
+				cfg.Settings = c.set
+			}
+			rec := model.NewRecorder(nil)
+			if series != "" {
+				f, err := os.Create(series)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				rec.Series = f
+			}
+			sim, err := model.New(cfg, rec)
+			if err != nil {
+				return err
+			}
+			totals := sim.Run()
+			if err := rec.Err(); err != nil {
+				return err
+			}
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(totals)
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&nodes, "nodes", 10, "edge nodes")
+	f.IntVar(&servers, "servers", 20, "app servers")
+	f.Float64Var(&seconds, "seconds", 60, "virtual seconds of arrivals")
+	f.Float64Var(&rate, "rate", 1000, "tickets a second for the whole fleet")
+	f.Uint64Var(&seed, "seed", 1, "seed of every random draw")
+	f.StringVar(&policy, "policy", "module", "module, round-robin or late")
+	f.StringVar(&schedule, "schedule", "", "fault schedule file (TOML), as for lab emulate")
+	f.StringVar(&series, "series", "", "file for the JSON lines, one a virtual second")
+	f.StringVar(&platform, "settings", "", "a platform configuration (JSON) whose settings the module takes")
+	return cmd
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -52,34 +52,54 @@
 // Plan draws the first arrivals of a run: Poisson at cfg.Rate, times BurstX during bursts. The same seed gives
 // the same plan.
 func Plan(cfg operator.Traffic, seed uint64) []Arrival {
-	rng := rand.New(rand.NewPCG(seed, 0x6c6f6164))
-	zipf := rand.NewZipf(rng, cfg.Skew, 1, uint64(cfg.Customers-1))
-	total := 0.0
-	for _, b := range cfg.Bands {
-		total += b.Share
-	}
-	end := cfg.DurationS
 	var out []Arrival
-	for t := 0.0; ; {
-		rate := cfg.Rate
-		if inBurst(cfg, t) {
-			rate *= cfg.BurstX
-		}
-		t += rng.ExpFloat64() / rate
-		if t >= end {
+	for s := NewStream(cfg, seed); ; {
+		a, ok := s.Next()
+		if !ok {
 			return out
 		}
-		pick, band := rng.Float64()*total, 0
-		for i, b := range cfg.Bands {
-			if pick < b.Share {
-				band = i
-				break
-			}
-			pick -= b.Share
-			band = i
+		out = append(out, a)
+	}
+}
+
+// Stream draws a plan's arrivals one at a time, for runs too long to hold them all.
+type Stream struct {
+	cfg   operator.Traffic
+	rng   *rand.Rand
+	zipf  *rand.Zipf
+	total float64
+	t     float64 // seconds
+}
+
+// NewStream starts the plan of cfg and seed.
+func NewStream(cfg operator.Traffic, seed uint64) *Stream {
+	rng := rand.New(rand.NewPCG(seed, 0x6c6f6164))
+	s := &Stream{cfg: cfg, rng: rng, zipf: rand.NewZipf(rng, cfg.Skew, 1, uint64(cfg.Customers-1))}
+	for _, b := range cfg.Bands {
+		s.total += b.Share
+	}
+	return s
+}
+
+// Next gives the next arrival, or false once the plan's duration has passed.
+func (s *Stream) Next() (Arrival, bool) {
+	rate := s.cfg.Rate
+	if inBurst(s.cfg, s.t) {
+		rate *= s.cfg.BurstX
+	}
+	s.t += s.rng.ExpFloat64() / rate
+	if s.t >= s.cfg.DurationS {
+		return Arrival{}, false
+	}
+	pick, band := s.rng.Float64()*s.total, 0
+	for i, b := range s.cfg.Bands {
+		band = i
+		if pick < b.Share {
+			break
 		}
-		out = append(out, Arrival{At: time.Duration(t * float64(time.Second)), Band: band, Customer: zipf.Uint64()})
+		pick -= b.Share
 	}
+	return Arrival{At: time.Duration(s.t * float64(time.Second)), Band: band, Customer: s.zipf.Uint64()}, true
 }
 
 func inBurst(cfg operator.Traffic, t float64) bool {
--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,94 @@
+package model
+
+import (
+	"bytes"
+	"testing"
+
+	"cherrygap/internal/lab/emulator"
+	"cherrygap/internal/operator"
+)
+
+func config(t *testing.T, policy Policy, sched string) Config {
+	t.Helper()
+	op := operator.Default()
+	srv := op.Lab.Emulator
+	srv.Servers = 8
+	s, err := emulator.ParseSchedule(sched, srv.Servers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := op.Lab.Load
+	tr.Rate, tr.Spread = 800, 2
+	return Config{Nodes: 6, Seconds: 20, Policy: policy, Seed: 5, Traffic: tr, Server: srv, Schedule: s}
+}
+
+// A failing seed must reproduce exactly: the same run twice writes the same series, byte for byte.
+func TestSameSeedSameRun(t *testing.T) {
+	var a, b bytes.Buffer
+	for _, w := range []*bytes.Buffer{&a, &b} {
+		s, err := New(config(t, Module, faults), NewRecorder(w))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Run()
+	}
+	if a.Len() == 0 || !bytes.Equal(a.Bytes(), b.Bytes()) {
+		t.Fatalf("two runs of one seed differ (%d and %d bytes)", a.Len(), b.Len())
+	}
+}
+
+const faults = `
+[[fault]]
+kind = "restart"
+server = 1
+at_s = 4
+for_s = 3
+[[fault]]
+kind = "reset"
+server = 2
+at_s = 2
+for_s = 10
+p = 0.3
+[[fault]]
+kind = "lose"
+server = 3
+at_s = 5
+for_s = 5
+p = 0.5
+[[fault]]
+kind = "slow"
+server = -1
+at_s = 10
+for_s = 4
+x = 8
+`
+
+// Under restarts, resets, lost answers and a slow spell, every ticket gets its answer and no single-use
+// ticket runs twice, for the module and both baselines.
+func TestFaultsLeaveNoTicketAndNoSecondRun(t *testing.T) {
+	for _, p := range []Policy{Module, RoundRobin, Late} {
+		s, err := New(config(t, p, faults), NewRecorder(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		tot := s.Run()
+		if tot.Twice != 0 || tot.Unanswered != 0 || tot.Tickets < 10000 {
+			t.Errorf("%s: %+v", p, tot)
+		}
+		if tot.Outcomes["broken"] == 0 && p != Module {
+			t.Errorf("%s: the faults broke nothing: %+v", p, tot.Outcomes)
+		}
+	}
+}
+
+func TestBadConfigIsRefused(t *testing.T) {
+	c := config(t, "fastest", "")
+	if _, err := New(c, NewRecorder(nil)); err == nil {
+		t.Fatal("unknown policy taken")
+	}
+	c = config(t, Module, "")
+	c.Nodes = 0
+	if _, err := New(c, NewRecorder(nil)); err == nil {
+		t.Fatal("no nodes taken")
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -21,6 +21,14 @@
 
 	Wake func(after time.Duration) // sets the one timer, which is to call Tick; it must not call the Router
 
+	// Clock gives the time; nil for the system's. The lab's fleet model passes a virtual one, so that the
+	// same module runs at sizes and speeds that sockets don't reach. It must never go back.
+	Clock func() time.Time
+
+	// Ready, when set, is told of each ticket whose next step is made, under the lock: it must only note the
+	// ticket, to Poll it once the call that made the step has returned. Nil where each ticket waits in Pick.
+	Ready func(*Ticket)
+
 	// What the module has done outside of tickets; called without the lock, one at a time each.
 	Tell  func(peer int, text []byte) // to one node, or to all (below 0)
 	Watch func()                      // ask discovery to go on telling
@@ -54,7 +62,10 @@
 
 // New makes a Router over a fresh module.
 func New(cfg Config) *Router {
-	now := time.Now()
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	now := cfg.Clock()
 	r := &Router{cfg: cfg, start: now, base: rules.Time(now.UnixNano() / int64(tenth)),
 		bands: names(cfg.Settings, "band"), plans: names(cfg.Settings, "plan"), fleet: newFleet()}
 	set := rules.Settings(cfg.Settings)
@@ -74,7 +85,7 @@
 }
 
 // now is the module's clock: the system's at the start, steady from then on.
-func (r *Router) now() rules.Time { return r.base + rules.Time(time.Since(r.start)/tenth) }
+func (r *Router) now() rules.Time { return r.base + rules.Time(r.cfg.Clock().Sub(r.start)/tenth) }
 
 // enter takes the lock and sets the module's time; leave drains its decisions and frees the lock.
 func (r *Router) enter() {
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -121,6 +121,9 @@
 	t.choice = c
 	select {
 	case t.wake <- struct{}{}:
+		if t.r.cfg.Ready != nil {
+			t.r.cfg.Ready(t)
+		}
 	default:
 	}
 }
@@ -128,6 +131,21 @@
 // Pick waits for the next step.
 func (t *Ticket) Pick() Choice {
 	<-t.wake
+	return t.picked()
+}
+
+// Poll gives the next step if the module has made it, without waiting: for callers that drive the Router
+// from one event loop, as the lab's fleet model does.
+func (t *Ticket) Poll() (Choice, bool) {
+	select {
+	case <-t.wake:
+		return t.picked(), true
+	default:
+		return Choice{}, false
+	}
+}
+
+func (t *Ticket) picked() Choice {
 	t.r.mu.Lock()
 	c, gone := t.choice, t.gone
 	t.choice, t.server = Choice{}, c.Server
