Lab report with gonum plots; the module against two baselines at 10, 100 and 300 nodes

Change: internal/lab/report reads series and writes goodput, p99, not-completed and busiest-server plots (gonum.org/v1/plot, PNG) and a Markdown table; cherrygap lab report. The baselines' bucket holds the node's part of the quota, as the module's does, so that they do not admit a customer's quota once per node of its set. BenchmarkFleet300 carries the model's speed.

Same series give the same files byte for byte.

--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -16,13 +16,14 @@
 	"cherrygap/internal/lab/emulator"
 	"cherrygap/internal/lab/load"
 	"cherrygap/internal/lab/model"
+	"cherrygap/internal/lab/report"
 	"cherrygap/internal/operator"
 )
 
 // newLab is the laboratory's commands. Each reads the operator file's [lab] part; flags hold over it.
 func newLab(opFile *string) *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "The laboratory: emulated app servers and open-loop load, on loopback only"}
-	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile))
+	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile), newReport())
 	return lab
 }
 
@@ -171,7 +172,7 @@
 }
 
 func newModel(opFile *string) *cobra.Command {
-	var nodes, servers int
+	var nodes, servers, customers, spread int
 	var seconds, rate float64
 	var seed uint64
 	var policy, schedule, series, platform string
@@ -198,6 +199,12 @@
 			srv.Servers = servers
 			tr := op.Lab.Load
 			tr.Rate = rate
+			if cmd.Flags().Changed("customers") {
+				tr.Customers = customers
+			}
+			if cmd.Flags().Changed("spread") {
+				tr.Spread = spread
+			}
 			if schedule == "" {
 				schedule = srv.Schedule
 			}
@@ -249,6 +256,39 @@
 	f.StringVar(&policy, "policy", "module", "module, round-robin or late")
 	f.StringVar(&schedule, "schedule", "", "fault schedule file (TOML), as for lab emulate")
 	f.StringVar(&series, "series", "", "file for the JSON lines, one a virtual second")
+	f.IntVar(&customers, "customers", 50, "distinct customers (Zipf); default from the operator file")
+	f.IntVar(&spread, "spread", 1, "edge nodes in a customer's set; default from the operator file")
 	f.StringVar(&platform, "settings", "", "a platform configuration (JSON) whose settings the module takes")
 	return cmd
 }
+
+func newReport() *cobra.Command {
+	var dir, title string
+	cmd := &cobra.Command{
+		Use:   "report SERIES...",
+		Short: "Plot series of lab model or lab load runs (PNG) and tabulate them (Markdown)",
+		Long: `Read one or more series (JSON lines, one a second, from "lab model --series" or "lab load --series"),
+each named by its file, and write into --out: goodput.png (completed a second), latency.png (p99 in ms),
+outcomes.png (not completed a second), load.png (busiest server, where the series carry load) and report.md
+(totals per run). The same series give the same files byte for byte. Prints the files written.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			var runs []report.Run
+			for _, path := range files {
+				r, err := report.Read(path)
+				if err != nil {
+					return err
+				}
+				runs = append(runs, r)
+			}
+			written, err := report.Write(dir, title, runs)
+			for _, w := range written {
+				fmt.Fprintln(cmd.OutOrStdout(), w)
+			}
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&dir, "out", "report", "folder for the plots and the table")
+	cmd.Flags().StringVar(&title, "title", "cherrygap lab", "title of the plots and the table")
+	return cmd
+}
--- a/internal/lab/model/baseline.go
+++ b/internal/lab/model/baseline.go
@@ -86,13 +86,16 @@
 }
 
 // spend takes the ticket's units from its customer's bucket at its node, or tells that they are not there.
+// Each node of a customer's set holds an equal part of the quota, so the set together keeps it.
 func (s *Sim) spend(tk *ticket) bool {
+	part := 1 / float64(min(max(1, s.cfg.Traffic.Spread), s.cfg.Nodes))
+	depth := s.cfg.Depth * part
 	b, ok := tk.node.buckets[tk.customer]
 	if !ok {
-		b = &bucket{level: s.cfg.Depth, at: s.now}
+		b = &bucket{level: depth, at: s.now}
 		tk.node.buckets[tk.customer] = b
 	}
-	b.level = min(s.cfg.Depth, b.level+s.cfg.Quota*(s.now-b.at).Seconds())
+	b.level = min(depth, b.level+s.cfg.Quota*part*(s.now-b.at).Seconds())
 	b.at = s.now
 	units := s.cfg.Traffic.Bands[tk.band].Units
 	if b.level < units {
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -92,3 +92,22 @@
 		t.Fatal("no nodes taken")
 	}
 }
+
+// BenchmarkFleet300 is the speed target's yardstick: 300 nodes and 200 servers on the module, ten virtual
+// seconds at 20,000 tickets a second. It reports virtual seconds per real second.
+func BenchmarkFleet300(b *testing.B) {
+	op := operator.Default()
+	srv := op.Lab.Emulator
+	srv.Servers = 200
+	tr := op.Lab.Load
+	tr.Rate, tr.Customers, tr.Spread = 20000, 20000, 3
+	for range b.N {
+		s, err := New(Config{Nodes: 300, Seconds: 10, Policy: Module, Seed: 1, Traffic: tr, Server: srv},
+			NewRecorder(nil))
+		if err != nil {
+			b.Fatal(err)
+		}
+		tot := s.Run()
+		b.ReportMetric(tot.VirtualPerS, "virtual-s/s")
+	}
+}
