--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -56,3 +56,24 @@
 		t.Fatalf("%+v", s)
 	}
 }
+
+// A tool that falls behind says so: a ticket sent 50 ms after it was due shows in the tool's own lag, and in
+// the ticket's latency.
+func TestFallingBehindIsReported(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	cfg := operator.Default().Lab.Load
+	cfg.Target = strings.TrimPrefix(srv.URL, "http://")
+	cfg.Rate, cfg.DurationS = 20, 0.2
+	tool := &Tool{Cfg: cfg, Seed: 1}
+	tool.Client = srv.Client()
+	res, err := tool.Run(context.Background()) // sets up; its own plan is kept by a free tool
+	if err != nil || res.Behind {
+		t.Fatalf("an idle tool fell behind: %v %+v", err, res.Summary())
+	}
+	start := time.Now()
+	tool.send(context.Background(), Arrival{Band: 0, Customer: 1}, start.Add(-50*time.Millisecond), start)
+	if lag, took := tool.res.Lag.Max(), tool.res.Latency.Max(); lag < 40_000 || took < 40_000 {
+		t.Fatalf("lag not seen: %d µs, latency %d µs", lag, took)
+	}
+}
