--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -42,6 +42,26 @@
 	return ctx, func() { cancel(); stop() }
 }
 
+// override sets dst, a value of the operator file, to the flag's v when the flag was given.
+func override[T any](cmd *cobra.Command, flag string, dst *T, v T) {
+	if cmd.Flags().Changed(flag) {
+		*dst = v
+	}
+}
+
+// checkFlags runs flags through the operator file's checks, so that a bad one names itself as a key.
+func checkFlags(op operator.File) error {
+	faults := op.Check()
+	if len(faults) == 0 {
+		return nil
+	}
+	msgs := make([]string, len(faults))
+	for i, f := range faults {
+		msgs[i] = f.String()
+	}
+	return fmt.Errorf("%s", strings.Join(msgs, "; "))
+}
+
 func newEmulate(opFile *string) *cobra.Command {
 	var servers int
 	var listen, schedule string
@@ -61,17 +81,13 @@
 				return err
 			}
 			e := op.Lab.Emulator
-			if cmd.Flags().Changed("servers") {
-				e.Servers = servers
-			}
-			if cmd.Flags().Changed("listen") {
-				e.Listen = listen
-			}
-			if cmd.Flags().Changed("schedule") {
-				e.Schedule = schedule
-			}
-			if !cmd.Flags().Changed("seed") {
-				seed = op.Lab.Seed
+			override(cmd, "servers", &e.Servers, servers)
+			override(cmd, "listen", &e.Listen, listen)
+			override(cmd, "schedule", &e.Schedule, schedule)
+			override(cmd, "seed", &op.Lab.Seed, seed)
+			op.Lab.Emulator = e
+			if err := checkFlags(op); err != nil {
+				return err
 			}
 			var sched emulator.Schedule
 			if e.Schedule != "" {
@@ -80,7 +96,7 @@
 				}
 			}
 			log := labLog(op)
-			fleet, err := emulator.Start(e, seed, sched, log)
+			fleet, err := emulator.Start(e, op.Lab.Seed, sched, log)
 			if err != nil {
 				return err
 			}
@@ -123,29 +139,15 @@
 				return err
 			}
 			l := op.Lab.Load
-			if cmd.Flags().Changed("target") {
-				l.Target = target
-			}
-			if cmd.Flags().Changed("rate") {
-				l.Rate = rate
-			}
-			if cmd.Flags().Changed("duration") {
-				l.DurationS = duration
-			}
-			if !cmd.Flags().Changed("seed") {
-				seed = op.Lab.Seed
-			}
-			// Flags pass the same checks as the file, so that a bad one names itself.
-			check := op
-			check.Lab.Load = l
-			if faults := check.Check(); len(faults) > 0 {
-				msgs := make([]string, len(faults))
-				for i, f := range faults {
-					msgs[i] = f.String()
-				}
-				return fmt.Errorf("%s", strings.Join(msgs, "; "))
+			override(cmd, "target", &l.Target, target)
+			override(cmd, "rate", &l.Rate, rate)
+			override(cmd, "duration", &l.DurationS, duration)
+			override(cmd, "seed", &op.Lab.Seed, seed)
+			op.Lab.Load = l
+			if err := checkFlags(op); err != nil {
+				return err
 			}
-			tool := &load.Tool{Cfg: l, Seed: seed}
+			tool := &load.Tool{Cfg: l, Seed: op.Lab.Seed}
 			if series != "" {
 				f, err := os.Create(series)
 				if err != nil {
@@ -192,19 +194,13 @@
 			if err != nil {
 				return err
 			}
-			if !cmd.Flags().Changed("seed") {
-				seed = op.Lab.Seed
-			}
+			override(cmd, "seed", &op.Lab.Seed, seed)
 			srv := op.Lab.Emulator
 			srv.Servers = servers
 			tr := op.Lab.Load
 			tr.Rate = rate
-			if cmd.Flags().Changed("customers") {
-				tr.Customers = customers
-			}
-			if cmd.Flags().Changed("spread") {
-				tr.Spread = spread
-			}
+			override(cmd, "customers", &tr.Customers, customers)
+			override(cmd, "spread", &tr.Spread, spread)
 			if schedule == "" {
 				schedule = srv.Schedule
 			}
@@ -214,7 +210,7 @@
 					return err
 				}
 			}
-			cfg := model.Config{Nodes: nodes, Seconds: seconds, Policy: model.Policy(policy), Seed: seed,
+			cfg := model.Config{Nodes: nodes, Seconds: seconds, Policy: model.Policy(policy), Seed: op.Lab.Seed,
 				Traffic: tr, Server: srv, Schedule: sched}
 			if platform != "" {
 				raw, err := os.ReadFile(platform)
