--- a/rules/rules.go
+++ b/rules/rules.go
@@ -424,6 +424,9 @@
 		s = n.pick(t)
 	}
 	if s < 0 {
+		if ok {
+			n.refused[byNoServer]++
+		}
 		return n.giveUp(i, advice), true
 	}
 	if len(t.runs) == 0 {
@@ -479,24 +482,36 @@
 	// A ticket whose client leaves before an execution usually ends would be waste, and asked for again.
 	// Guards against crowds of the impatient; could harm a client that is often served quicker.
 	if left := float64(t.until - n.now); left < hopeless*n.usualOf(&n.bands[t.band]) {
-		return false, 0
+		return n.refuse(byHopeless, 0)
 	}
 	if n.lambda == 0 { // fresh: a few executions a ready server
 		if n.pressing() >= n.few(fresh) {
-			return false, 0
+			return n.refuse(byFresh, 0)
 		}
 	} else {
 		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
 		n.tokensAt = n.now
-		if n.tokens < 1 || n.pressing() >= n.openCap() {
-			return false, 0
+		if n.tokens < 1 {
+			return n.refuse(byLambda, 0)
+		}
+		if n.pressing() >= n.openCap() {
+			return n.refuse(byOpen, 0)
 		}
 	}
 	c := &n.customers[t.customer]
 	if ok, advice := n.inQuota(c, t); !ok {
-		return false, advice
+		return n.refuse(byQuota, advice)
+	}
+	if !n.ceilingRoom(c, t) {
+		return n.refuse(byCeiling, 0)
 	}
-	return n.ceilingRoom(c, t), 0
+	return true, 0
+}
+
+// refuse counts a first execution refused on the ordinary path, by its reason, for the interval's note.
+func (n *Node) refuse(why int, advice Time) (bool, Time) {
+	n.refused[why]++
+	return false, advice
 }
 
 // few is this node's even share of so many executions a ready server, and a chance swing on top.
@@ -952,8 +967,9 @@
 		tail = n.tails[k*95/100]
 	}
 	n.text = fmt.Appendf(n.text[:0], "interval inflight=%d avg=%.3f lat=%.3f avg=%.3f lambda=%.1f a=%.2f"+
-		" admitted=%.1f completed=%.1f tail=%.3f scale=%d", n.inWork, n.state[1], n.state[2], n.state[3],
-		n.lambda, n.lastA, admitted, float64(n.completed)/span, tail, int(n.scale))
+		" admitted=%.1f completed=%.1f tail=%.3f scale=%d refused=%v", n.inWork, n.state[1], n.state[2], n.state[3],
+		n.lambda, n.lastA, admitted, float64(n.completed)/span, tail, int(n.scale), n.refused)
+	n.refused = [byKinds]int{}
 	n.noteDue = true
 	n.admitted, n.completed, n.ended, n.latency, n.tails = 0, 0, 0, 0, n.tails[:0]
 	n.began, n.intervalAt = n.now, n.now+interval
--- a/rules/types.go
+++ b/rules/types.go
@@ -202,6 +202,19 @@
 	took             faded  // completed latencies
 }
 
+// Why a ticket is refused, as the interval's note counts them: too little time left, a fresh node's few, λ's
+// tokens, the open cap, the customer's part of its bucket, its hard ceiling, no server to take it.
+const (
+	byHopeless = iota
+	byFresh
+	byLambda
+	byOpen
+	byQuota
+	byCeiling
+	byNoServer
+	byKinds
+)
+
 // plan is a plan's settings.
 type plan struct {
 	rate, depth               float64
@@ -381,6 +394,7 @@
 	quiet      bool
 	scale      float64 // T, lowest recent interval latency, in Time
 	admitted   int
+	refused    [byKinds]int // tickets refused in the interval, by reason
 	completed  int
 	ended      int
 	latency    float64   // sum over ends of time over contract time
