--- a/rules/rules.go
+++ b/rules/rules.go
@@ -489,10 +489,7 @@
 			return n.refuse(byFresh, 0)
 		}
 	} else {
-		// A node that sees few tickets a second meets their chance bunching as often as their rate: a chance
-		// swing on top of the share that may go at once keeps λ's limit from refusing by chance alone.
-		burst := n.lambda * burstOf
-		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), burst+swing*math.Sqrt(burst)+1)
+		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
 		n.tokensAt = n.now
 		if n.tokens < 1 {
 			return n.refuse(byLambda, 0)
