--- a/rules/rules.go
+++ b/rules/rules.go
@@ -950,9 +950,7 @@
 		x[1] += fade * (x[0] - x[1])
 		x[3] += fade * (x[2] - x[3])
 		n.state = x
-		// Quiet is judged on the faded latency: at many small nodes one interval's latency stands on a handful
-		// of ends, and flipping the open cap with it refuses half of the intervals by chance.
-		n.quiet = x[3] < quietUnder
+		n.quiet = x[2] < quietUnder
 		a := max(leastA, policy.net(x)) * max(best*secs(Time(n.scale)), n.few(openLeast))
 		if n.quiet { // as for a fresh node, and not below what was let in
 			a = max(a, n.few(fresh), admitted*secs(Time(n.scale)))
