Lab: a drain fault; the fleet model checks rule 3 for drained servers

Change: fault kind drain. The emulator turns new work away (503, X-Rejected: 1) for the grace, then closes. The model marks the server draining, tells the module's nodes 100 ms later as discovery's change (state terminating), and counts executions sent to it over 500 ms after that (late_to_drained, must be 0).

--- a/internal/lab/emulator/emulator.go
+++ b/internal/lab/emulator/emulator.go
@@ -102,12 +102,19 @@
 		at     time.Duration
 		server int
 		up     bool
+		drain  bool
 	}
 	var events []event
 	for _, s := range f.Servers {
 		for _, fl := range s.sched.Faults {
-			if fl.Kind == Restart && (fl.Server == -1 || fl.Server == s.id) {
-				events = append(events, event{fl.At(), s.id, false}, event{fl.End(), s.id, true})
+			if fl.Server != -1 && fl.Server != s.id {
+				continue
+			}
+			switch fl.Kind {
+			case Restart:
+				events = append(events, event{fl.At(), s.id, false, false}, event{fl.End(), s.id, true, false})
+			case Drain:
+				events = append(events, event{fl.At(), s.id, false, true})
 			}
 		}
 	}
@@ -125,6 +132,10 @@
 		case <-time.After(time.Until(f.start.Add(e.at))):
 		}
 		s := f.Servers[e.server]
+		if e.drain {
+			s.Drain()
+			continue
+		}
 		if e.up {
 			if err := s.open(); err != nil {
 				s.log.Error().Err(err).Msg("restart failed")
@@ -184,8 +195,8 @@
 	return s.runs[id]
 }
 
-// Drain makes the server turn new tickets away (503, X-Rejected: 1) and its probes answer 503; what it holds
-// may finish within the grace, after which its connections are closed.
+// Drain makes the server turn new tickets away (503, X-Rejected: 1) and its probes answer 503, while it
+// still takes connections; what it holds may finish within the grace, after which it closes everything.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	s.draining = true
@@ -194,11 +205,14 @@
 	if srv == nil {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.cfg.DrainMs*float64(time.Millisecond)))
-		defer cancel()
-		_ = srv.Shutdown(ctx)
-	}()
+	time.AfterFunc(time.Duration(s.cfg.DrainMs*float64(time.Millisecond)), func() {
+		s.mu.Lock()
+		same := s.srv == srv
+		s.mu.Unlock()
+		if same {
+			s.close()
+		}
+	})
 }
 
 func (s *Server) open() error {
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -117,3 +117,18 @@
 		t.Fatal("restart not counted")
 	}
 }
+
+// A scheduled drain turns new work away while it still takes connections, and closes after its grace.
+func TestScheduledDrain(t *testing.T) {
+	f := fleet(t, 1, "[[fault]]\nkind = \"drain\"\nat_s = 0.05\nfor_s = 1\n")
+	addr := f.Servers[0].Addr()
+	time.Sleep(100 * time.Millisecond)
+	resp, _, err := get(addr, "e6")
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("X-Rejected") != "1" {
+		t.Fatalf("while draining: %v %v", resp, err)
+	}
+	time.Sleep(300 * time.Millisecond) // the grace is 200 ms
+	if _, _, err := get(addr, "e7"); err == nil {
+		t.Fatal("answered after the grace")
+	}
+}
--- a/internal/lab/emulator/schedule.go
+++ b/internal/lab/emulator/schedule.go
@@ -24,10 +24,11 @@
 	Lose    Kind = "lose"    // the work is done, the answer never sent
 	Refuse  Kind = "refuse"  // 503 with X-Rejected: 1 at once: never run
 	Restart Kind = "restart" // every connection reset, the address refused for the length, then cold again
+	Drain   Kind = "drain"   // from its start on, turns new work away and finishes what it holds (for_s unused)
 )
 
 var kinds = map[Kind]bool{Slow: true, Error: true, Reset: true, Spoil: true, Silence: true, Lose: true,
-	Refuse: true, Restart: true}
+	Refuse: true, Restart: true, Drain: true}
 
 // Fault is one entry of a schedule.
 type Fault struct {
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -62,6 +62,9 @@
 	down     bool
 	runs     int64
 	lastBusy int // for Late: what was seen at the last look
+	draining bool
+	toldAt   time.Duration // when the nodes heard of its drain; -1 before
+	target   protocol.Target
 }
 
 type execution struct {
@@ -115,8 +118,12 @@
 	evSample
 	evFault // a restart begins or ends
 	evRetry // a bounced client comes again
+	evDrain // a server begins to drain (gen 0), or discovery tells the nodes (gen 1)
 )
 
+// drainTold is how long after a drain begins discovery tells the nodes; rule 3 then gives them drainCutoff.
+const drainTold, drainCutoff = 100 * time.Millisecond, 500 * time.Millisecond
+
 type event struct {
 	at   time.Duration
 	seq  uint64
@@ -158,6 +165,7 @@
 	next    load.Arrival
 	more    bool
 	ids     uint64
+	rev     uint64 // of the list the nodes were told
 	bands   []string
 	out     *Recorder
 	steps   int64
@@ -196,13 +204,15 @@
 		s.bands = append(s.bands, b.Name)
 	}
 	list := &protocol.List{Rev: 1, All: true}
+	s.rev = 1
 	for i := range cfg.Server.Servers {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), 9000)
-		sv := &server{id: i, addr: addr, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1)), booted: -time.Hour}
+		sv := &server{id: i, addr: addr, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1)), booted: -time.Hour,
+			toldAt: -1, target: protocol.Target{UID: "s-" + strconv.Itoa(i), Endpoint: addr,
+				Zone: string(rune('a' + i%3)), Model: "m", Cell: i % 8, State: protocol.InService, Weight: 1}}
 		s.servers = append(s.servers, sv)
 		s.byAddr[addr] = sv
-		list.Targets = append(list.Targets, protocol.Target{UID: "s-" + strconv.Itoa(i), Endpoint: addr,
-			Zone: string(rune('a' + i%3)), Model: "m", Cell: i % 8, State: protocol.InService, Weight: 1})
+		list.Targets = append(list.Targets, sv.target)
 	}
 	for i := range cfg.Nodes {
 		n := &node{id: i, tickets: map[*routing.Ticket]*ticket{}, out: map[int]int{}, buckets: map[uint64]*bucket{}}
@@ -225,9 +235,13 @@
 		s.nodes = append(s.nodes, n)
 	}
 	for _, f := range cfg.Schedule.Faults {
-		if f.Kind == emulator.Restart {
+		switch f.Kind {
+		case emulator.Restart:
 			s.push(&event{at: f.At(), kind: evFault, n: f.Server, gen: 1})
 			s.push(&event{at: f.End(), kind: evFault, n: f.Server, gen: 0})
+		case emulator.Drain:
+			s.push(&event{at: f.At(), kind: evDrain, n: f.Server})
+			s.push(&event{at: f.At() + drainTold, kind: evDrain, n: f.Server, gen: 1})
 		}
 	}
 	s.next, s.more = s.stream.Next()
@@ -311,6 +325,8 @@
 		s.push(&event{at: s.now + time.Second, kind: evSample})
 	case evFault:
 		s.fault(e.n, e.gen == 1)
+	case evDrain:
+		s.drain(e.n, e.gen == 1)
 	}
 }
 
@@ -408,6 +424,13 @@
 	if wait > 0 {
 		s.push(&event{at: s.now + wait, kind: evTimeout, exec: x})
 	}
+	if sv.toldAt >= 0 && s.now > sv.toldAt+drainCutoff {
+		s.out.lateToDrained++ // rule 3: nothing new to a draining server 500 ms after hearing it
+	}
+	if sv.draining {
+		s.reply(x, protocol.TurnedAway, s.cfg.RTT)
+		return
+	}
 	if sv.down {
 		x.ended, x.outcome = true, protocol.Unconnected
 		s.push(&event{at: s.now + s.cfg.RTT, kind: evReport, exec: x})
@@ -576,3 +599,30 @@
 	tk.done = true
 	s.out.settled(tk, o, s.now)
 }
+
+// drain marks servers draining, or tells the module's nodes so, as discovery's change would.
+func (s *Sim) drain(which int, tell bool) {
+	var change []protocol.Target
+	for _, sv := range s.servers {
+		if which != -1 && sv.id != which {
+			continue
+		}
+		if !tell {
+			sv.draining = true
+			continue
+		}
+		sv.toldAt = s.now
+		sv.target.State = protocol.Terminating
+		change = append(change, sv.target)
+	}
+	if !tell {
+		return
+	}
+	s.rev++
+	for _, n := range s.nodes {
+		if n.router != nil {
+			n.router.Listed(&protocol.List{Rev: s.rev, Targets: change}, false)
+			s.poll(n)
+		}
+	}
+}
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -111,3 +111,19 @@
 		b.ReportMetric(tot.VirtualPerS, "virtual-s/s")
 	}
 }
+
+// Rule 3 in the model: once discovery has told the nodes of a drain, nothing new goes to that server past
+// 500 ms. The module hears it; round-robin, which does not listen, shows that the check can fail.
+func TestNothingNewToADrainedServer(t *testing.T) {
+	drains := "[[fault]]\nkind = \"drain\"\nserver = 3\nat_s = 5\nfor_s = 1\n[[fault]]\nkind = \"drain\"\nserver = 4\nat_s = 8\nfor_s = 1\n"
+	for _, p := range []Policy{Module, RoundRobin} {
+		s, err := New(config(t, p, drains), NewRecorder(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		tot := s.Run()
+		if late := tot.LateDrained; (p == Module) != (late == 0) || tot.Unanswered != 0 {
+			t.Errorf("%s: %d executions late to drained servers, %d unanswered", p, late, tot.Unanswered)
+		}
+	}
+}
--- a/internal/lab/model/recorder.go
+++ b/internal/lab/model/recorder.go
@@ -45,8 +45,9 @@
 	Goodput     float64          `json:"goodput"` // completed over tickets
 	P50Ms       float64          `json:"p50_ms"`
 	P99Ms       float64          `json:"p99_ms"`
-	Twice       int64            `json:"twice"`      // single-use tickets run more than once: must be 0
-	Unanswered  int64            `json:"unanswered"` // tickets still open at the end: must be 0
+	Twice       int64            `json:"twice"`           // single-use tickets run more than once: must be 0
+	Unanswered  int64            `json:"unanswered"`      // tickets still open at the end: must be 0
+	LateDrained int64            `json:"late_to_drained"` // executions sent over 500 ms after a drain was told: must be 0
 	Events      int64            `json:"events"`
 	RealS       float64          `json:"real_s"`
 	VirtualPerS float64          `json:"virtual_s_per_real_s"`
@@ -60,6 +61,7 @@
 	policy             string
 	nodes, servers     int
 	open, twice, total int64
+	lateToDrained      int64
 	outcomes           [outKinds]int64
 	sec                [outKinds]int64
 	arrivedSec         int64
@@ -134,7 +136,7 @@
 func (r *Recorder) Totals(events int64) Totals {
 	real := time.Since(r.began).Seconds()
 	t := Totals{Policy: r.policy, Nodes: r.nodes, Servers: r.servers, Seconds: r.last.Seconds(), Tickets: r.total,
-		Outcomes: map[string]int64{}, P50Ms: q(r.lat, 50), P99Ms: q(r.lat, 99), Twice: r.twice, Unanswered: r.open,
+		Outcomes: map[string]int64{}, P50Ms: q(r.lat, 50), P99Ms: q(r.lat, 99), Twice: r.twice, Unanswered: r.open, LateDrained: r.lateToDrained,
 		Events: events, RealS: real}
 	for i, n := range r.outcomes {
 		t.Outcomes[outNames[i]] = n
