Discovery is asked again at a chance time in a doubling span, not in step each second

At the start all 80 nodes ask at once: 32 are told, 48 get a 503 after 2,000 ms. The 56 nodes killed at 12.95 s came back in step and joined them: at 25 s the 24 that were not killed knew 26 cold servers of 60, while the restarted ones knew none and sent 200 to 340 executions a second to servers that had been replaced. Ruled out: the watch's one-second hold (held for 10 s: the same 0.44 calls a node and second, the same refusals, so renewals cost nothing); the list's form ("malformed list" was any status but 200). At fault: Roster in rules/rules.go (asks again after one interval, always) and the watch's own pause on top of it. Change: after a failure a node asks again at a chance time within a span that doubles from four intervals up to the settings' ask_within, never in its first quarter. Where the module gives the word, the watch adds no pause. Also guards: any crowd at discovery after an outage. Harm: a lone failed call is repeated 1 to 4 s later, not 1 s.

--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -82,9 +82,11 @@
 			if pause = min(2*pause, againLong); time.Since(began) > pause {
 				pause = againOnce
 			}
-			select {
-			case <-time.After(pause):
-			case <-ctx.Done():
+			if w.Asked == nil { // else the word to ask again is another's
+				select {
+				case <-time.After(pause):
+				case <-ctx.Done():
+				}
 			}
 		}
 		if moved = ctx.Err() != nil; moved { // nothing was missed: go on there at once
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -70,6 +70,7 @@
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
 	spareOver = 2.5  // and times the usual latency
+	askFrom   = 0.25 // least share of the span after which discovery is asked again
 	beats     = 30   // looks at open executions in a contract time
 )
 
@@ -109,11 +110,15 @@
 // Roster takes in a message of the server roster.
 func (n *Node) Roster(kind RosterKind, list []Listing) {
 	if kind == Missed {
-		if n.watches { // ask again after an interval
-			n.watches, n.watchAt = false, n.now+interval
+		// Ask again at a chance time within a span that doubles. It guards against nodes that start together,
+		// ask in step, and keep discovery full of calls that no one waits for any more, so that none is told.
+		if n.missed++; n.watches {
+			span := min(float64(interval)*math.Exp2(n.missed+1), max(float64(interval), n.set.Num("ask.within")))
+			n.watches, n.watchAt = false, n.now+Time(span*(askFrom+(1-askFrom)*n.chance.unit()))
 		}
 		return
 	}
+	n.missed = 0
 	if kind != Change {
 		for i := range n.servers {
 			n.servers[i].known = false
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -397,3 +397,42 @@
 		t.Errorf("%d of 400 tickets went to a server that turns them away", sent)
 	}
 }
+
+// Nodes that discovery turned away together must not ask again together, nor ever faster than the span allows.
+func TestFailedCallsToDiscoverySpread(t *testing.T) {
+	span := 10 * Second
+	var first []Time
+	r := rand.New(rand.NewSource(1))
+	set := Settings{"nodes": "80", "tick": "10", "band.count": "1", "band.0.contract": "6000", "roster": "ask",
+		"plan.count": "1", "ask.within": strconv.Itoa(int(span))}
+	for range 80 {
+		n := New(r.Uint64(), set, Second)
+		for k, now := 0, Second; k < 6; k++ {
+			asked := now
+			for !watches(n) {
+				now += Second / 50
+				n.Clock(now)
+			}
+			if wait := now - asked; k > 0 && (wait < Second || wait > span+Second) {
+				t.Fatalf("asked again after %d", wait)
+			}
+			if k == 1 {
+				first = append(first, now)
+			}
+			n.Roster(Missed, nil)
+		}
+	}
+	slices.Sort(first)
+	for i := range len(first) - 20 {
+		if first[i+20]-first[i] < Second/4 {
+			t.Fatalf("20 of 80 nodes ask again within %d", first[i+20]-first[i])
+		}
+	}
+}
+
+func watches(n *Node) (asked bool) {
+	for d, ok := n.Next(); ok; d, ok = n.Next() {
+		asked = asked || d.Verb == Watch
+	}
+	return asked
+}
--- a/rules/types.go
+++ b/rules/types.go
@@ -384,6 +384,7 @@
 	heardAt Time     // last message of any peer
 	watchAt Time     // when to ask for the roster; 0: never
 	watches bool
+	missed  float64 // calls to discovery that failed in a row
 
 	// The limit.
 	intervalAt Time
