A cold server whose budget is a rate has its turn as soon as the budget lets it

Ruled out: the list's lateness (all nodes knew the 36 within 0.6 s of discovery), suspicion (2 of 60), the open cap of a cold server (at most one in fifty was open). At fault: pick in rules/rules.go. At 80 nodes one node's budget for a cold server is one execution in 20 s or so. A server gathers turns in the rotation only in the moments when that lets it, and is passed over by chance on top: three brakes one after the other, each alone about right. Change: where the budget is below one execution a span, the budget is the pace: such a server has its turn first among servers in good standing, under its fair share and not yet tried. Larger budgets (few nodes) are as before. Also covers: a fleet that starts cold; zones that return. Harm: where servers warm more slowly than the settings say.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -781,7 +781,7 @@
 		}
 	}
 	for level := range 3 {
-		best, sum := int32(-1), 0.0
+		best, due, sum := int32(-1), int32(-1), 0.0
 		for i := range n.servers {
 			s := &n.servers[i]
 			if s.weight <= 0 || level < 2 && n.suspect(&s.by[t.band]) {
@@ -791,9 +791,18 @@
 				(float64(s.open) >= max(1, fair) || tried(t, int32(i))) {
 				continue
 			}
-			// A fresh server is passed over by chance, less as it warms.
-			if share := n.coldShare(s); share < 1 && level == 0 && n.chance.unit() > share {
-				continue
+			// A fresh server is passed over by chance, less as it warms; one whose budget is a rate has its
+			// turn whenever that lets it: the rotation and chance on top would leave it all but idle.
+			if share := n.coldShare(s); share < 1 && level == 0 {
+				if n.coldBudget(s) < 1 {
+					if due < 0 || s.turn > n.servers[due].turn {
+						due = int32(i)
+					}
+					continue
+				}
+				if n.chance.unit() > share {
+					continue
+				}
 			}
 			s.turn += s.weight
 			sum += s.weight
@@ -801,6 +810,9 @@
 				best = int32(i)
 			}
 		}
+		if due >= 0 {
+			return due
+		}
 		if best >= 0 {
 			n.servers[best].turn -= sum
 			return best
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -436,3 +436,44 @@
 	}
 	return asked
 }
+
+// Where each of many nodes meets a cold server seldom, all of them together must still give it most of what the
+// budget lets them, and no more: half of the servers replaced at once would else stand idle while the rest drown.
+func TestColdServersOfAWideFleetAreUsed(t *testing.T) {
+	const warm, cold, nodes = 10, 10, 60
+	r, sent, allowed := rand.New(rand.NewSource(3)), 0, 0.0
+	for range nodes {
+		n := New(r.Uint64(), Settings{"nodes": "80", "tick": "10", "band.count": "1", "band.0.contract": "15000",
+			"plan.count": "1", "cold.span": "170000", "cold.from": "0.2", "fall.multiple": "3", "fall.span": "20000",
+			"band.0.repeats": "replayable"}, Second)
+		list := []Listing{}
+		for i := range uint32(warm) {
+			list = append(list, Listing{Server: i, State: Ready, Weight: 1})
+		}
+		n.Roster(Whole, list)
+		for k := range uint32(28 * 5) { // five tickets a second, 20 s before the change and 8 s after
+			now := Second + Time(k)*Second/5
+			n.Clock(now)
+			if now >= 21*Second && n.ready == warm {
+				for i := range uint32(cold) {
+					list = append(list, Listing{Server: 100 + i, State: Ready, Weight: 1, Started: now})
+				}
+				n.Roster(Whole, list)
+			}
+			n.Take(Arrival{ID: k, Customer: uint64(k), Left: 4 * Second, Units: 1, Spread: 1})
+			for _, d := range pull(n, Send) {
+				if d.Server >= 100 {
+					sent++
+				}
+				n.Clock(now + Second/10)
+				n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Took: Second / 10})
+			}
+			if now >= 21*Second {
+				allowed += n.coldBudget(&n.servers[warm]) * cold / (2 * 5)
+			}
+		}
+	}
+	if got := float64(sent) / allowed; got < 0.6 || got > 1.2 {
+		t.Fatalf("%d executions to cold servers, %.0f allowed", sent, allowed)
+	}
+}
