Each node of a wide fleet uses a part of the servers, sized by its traffic, dealt out evenly

What rests servers at all nodes empties them and drowns the others; what is missing is each node's own knowledge. At fault: pick in rules/rules.go, which rotates over all servers whatever the node's traffic. Change (subsetting): where not all nodes can hear all, a node uses as many servers as it meets eight times within the settings' idle time, six at least, and all only when none of those can take a ticket. Eight nodes share a shuffle by a hash and begin at even places. Covers any server that is bad in a way seen only on it. Harm: see the comment.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -67,6 +67,10 @@
 	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
 
+	meets     = 8.0 // times that a node meets a server while a connection there may stand idle
+	leastUsed = 6.0 // servers that a node uses at least
+	dealt     = 8   // nodes that share a shuffle of the servers
+
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
 	spareOver = 2.5  // and times the usual latency
@@ -90,8 +94,9 @@
 
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
-	n := &Node{set: set, now: now, began: now, intervalAt: now + interval, tellAt: now + tellEvery,
-		beatAt: now, lastLat: lowShare, doubtAt: now + tellEvery, tokensAt: now, quiet: true,
+	n := &Node{set: set, now: now, began: now, born: now, reach: 1, intervalAt: now + interval,
+		tellAt: now + tellEvery, beatAt: now, lastLat: lowShare, doubtAt: now + tellEvery, tokensAt: now,
+		quiet:    true,
 		heardAt:  now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
@@ -146,6 +151,7 @@
 			n.ready++
 		}
 	}
+	n.choose()
 }
 
 // Take notes a ticket that came in.
@@ -452,6 +458,7 @@
 	if n.now < at.until || at.misses > 0 {
 		at.trying = true
 	}
+	n.sends.add(1, n.now, paceFade)
 	t.runs = append(t.runs, execution{server: s, sent: n.now, out: true, mayRun: true})
 	if t.out++; t.out == 1 {
 		n.inWork++
@@ -766,34 +773,41 @@
 	return true
 }
 
-// pick is the smooth weighted rotation over the servers that may have the ticket: first those in good
-// standing, under their cap and not yet tried; then any in good standing; then suspected ones too.
+// pick is the smooth weighted rotation over the servers that may have the ticket: first those that this node
+// uses, in good standing, under their cap and not yet tried; then such ones of all; then any in good
+// standing; then suspected ones too.
 func (n *Node) pick(t *ticket) int32 {
 	b := &n.bands[t.band]
-	total, open, mean := 0.0, 0, n.meanPace()
+	mean := n.meanPace()
+	var total, open [2]float64 // of the subset, of all
 	for i := range n.servers {
 		s := &n.servers[i]
 		s.weight = 0
 		if s.usable() && n.mayHave(t, b, s) && n.coldRoom(s) {
 			s.weight = n.weigh(s, mean)
-			total += s.weight
-			open += s.open
+			total[1], open[1] = total[1]+s.weight, open[1]+float64(s.open)
+			if s.mine {
+				total[0], open[0] = total[0]+s.weight, open[0]+float64(s.open)
+			}
 		}
 	}
-	for level := range 3 {
-		best, due, sum := int32(-1), int32(-1), 0.0
+	for level := range 4 {
+		best, due, sum, of := int32(-1), int32(-1), 0.0, min(level, 1)
+		if level == 1 && !n.wide { // all are in the subset
+			continue
+		}
 		for i := range n.servers {
 			s := &n.servers[i]
-			if s.weight <= 0 || level < 2 && n.suspect(&s.by[t.band]) {
+			if s.weight <= 0 || level < 3 && n.suspect(&s.by[t.band]) || level == 0 && !s.mine {
 				continue
 			}
-			if fair := float64(open+1) * s.weight / total; level == 0 &&
+			if fair := (open[of] + 1) * s.weight / total[of]; level < 2 &&
 				(float64(s.open) >= max(1, fair) || tried(t, int32(i))) {
 				continue
 			}
 			// A fresh server is passed over by chance, less as it warms; one whose budget is a rate has its
 			// turn whenever that lets it: the rotation and chance on top would leave it all but idle.
-			if share := n.coldShare(s); share < 1 && level == 0 {
+			if share := n.coldShare(s); share < 1 && level < 2 {
 				if n.coldBudget(s) < 1 {
 					if due < 0 || s.turn > n.servers[due].turn {
 						due = int32(i)
@@ -821,6 +835,33 @@
 	return -1
 }
 
+// choose sets which servers this node uses while they can take its tickets: as many as it meets several times
+// before an idle connection there is closed. Eight nodes at a time share a shuffle of the servers, by a hash,
+// and begin at even places of it, so that all servers get about alike. It guards against many nodes that
+// each meet all servers: they open a connection for every second execution, and each spends its own tickets
+// on every slow or failing server of the fleet. It could harm where a few nodes bring most of the traffic to
+// a few servers: then the cap on what is out (pick) sends the rest to all.
+func (n *Node) choose() {
+	most := len(n.servers)
+	if idle := n.set.Span("idle"); n.wide && idle > 0 {
+		n.sends.fadeTo(n.now, paceFade)
+		rate := n.sends.n / secs(min(paceFade, max(interval, n.now-n.born)))
+		most = int(max(rate*secs(idle)/meets, leastUsed))
+	}
+	n.order = n.order[:0]
+	for i := range n.servers {
+		s := &n.servers[i]
+		if s.mine = false; s.usable() {
+			n.order = append(n.order, uint64(mix(s.Server, uint32(n.me/dealt)))<<32|uint64(i))
+		}
+	}
+	slices.Sort(n.order)
+	for k := range min(most, n.ready) { // a server that comes or goes moves the ends of a part by a place
+		n.servers[uint32(n.order[(n.me%dealt*n.ready/dealt+k)%n.ready])].mine = true
+	}
+	n.reach = max(1, float64(n.ready)/float64(max(1, most)))
+}
+
 // mayHave keeps a referenced ticket that may have run inside its group.
 func (n *Node) mayHave(t *ticket, b *band, s *appServer) bool {
 	for _, x := range t.runs {
@@ -865,13 +906,14 @@
 		return true
 	}
 	n.coldLeak(s)
-	return s.open < 1+int(share*2) && s.sentNow+1 <= max(1, n.coldBudget(s))
+	return s.mine && s.open < 1+int(share*2) && s.sentNow+1 <= max(1, n.coldBudget(s))
 }
 
 // coldBudget is how many executions a cold server may get from this node in a span.
 func (n *Node) coldBudget(s *appServer) float64 {
 	warm := max(n.each, 1/(float64(n.nodes)*secs(n.contract))) // so that an all cold fleet warms
-	return coldMargin * n.set.Num("fall.multiple") * n.coldShare(s) * warm * secs(n.set.Span("fall.span"))
+	share := coldMargin * n.coldShare(s) * n.reach             // of the nodes, one in reach uses it
+	return share * n.set.Num("fall.multiple") * warm * secs(n.set.Span("fall.span"))
 }
 
 func (n *Node) coldLeak(s *appServer) {
@@ -992,6 +1034,7 @@
 	n.began, n.intervalAt = n.now, n.now+interval
 	n.ageOut()
 	n.forget()
+	n.choose()
 }
 
 // ageOut forgets customers that have long been idle, once their stores are surely full.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -477,3 +477,55 @@
 		t.Fatalf("%d executions to cold servers, %.0f allowed", sent, allowed)
 	}
 }
+
+// Of many nodes each uses a part of the servers, sized by its traffic; all servers get about alike, and one that
+// goes changes no more than one of a node's servers, or connections and what is known of servers would be lost.
+func TestWideFleetUsesSubsets(t *testing.T) {
+	const servers, nodes = 60, 80
+	r, load, kept, sent := rand.New(rand.NewSource(5)), map[uint32]int{}, 0, 0
+	for me := range nodes {
+		n := New(r.Uint64(), Settings{"nodes": strconv.Itoa(nodes), "node": strconv.Itoa(me), "tick": "10",
+			"band.count": "1", "band.0.contract": "15000", "plan.count": "1", "idle": "150000",
+			"band.0.repeats": "replayable"}, Second)
+		list := []Listing{}
+		for i := range uint32(servers) {
+			list = append(list, Listing{Server: i * 7919, State: Ready, Weight: 1})
+		}
+		n.Roster(Whole, list)
+		met, last := map[uint32]bool{}, Second
+		for k := range uint32(20 * 5) { // five tickets a second
+			last += Second / 5
+			n.Clock(last)
+			n.Take(Arrival{ID: k, Customer: uint64(k), Left: 4 * Second, Units: 1, Spread: 1})
+			for _, d := range pull(n, Send) {
+				met[d.Server] = true
+				load[d.Server]++
+				sent++
+				n.Clock(last + Second/10)
+				n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Took: Second / 10})
+			}
+		}
+		if len(met) < leastUsed || len(met) > 20 {
+			t.Fatalf("node %d met %d servers", me, len(met))
+		}
+		before := map[uint32]bool{}
+		for _, s := range n.servers {
+			before[s.Server] = s.mine
+		}
+		list[r.Intn(servers)].State = Draining
+		n.Roster(Whole, list)
+		for _, s := range n.servers {
+			if s.mine && !before[s.Server] {
+				kept++
+			}
+		}
+	}
+	for s, k := range load {
+		if mean := sent / servers; k > mean*8/5 || k < mean/2 {
+			t.Errorf("server %d got %d of %d", s, k, sent)
+		}
+	}
+	if len(load) != servers || kept > nodes/2 {
+		t.Errorf("%d servers used, %d new ones after one left each node's list", len(load), kept)
+	}
+}
--- a/rules/types.go
+++ b/rules/types.go
@@ -280,6 +280,7 @@
 	Listing
 	known   bool
 	live    bool // the slot is in use
+	mine    bool // among those that this node uses first
 	named   bool // by an open ticket, as of this sweep
 	open    int
 	pace    faded // latencies over their band's usual one
@@ -371,9 +372,13 @@
 	drops []Decision // executions to call back
 	text  []byte
 
-	ready   int     // app servers listed as ready
-	inWork  int     // tickets with an execution out
-	extra   float64 // further executions left in the budget
+	born    Time
+	ready   int      // app servers listed as ready
+	sends   faded    // executions sent
+	reach   float64  // ready servers for each that this node uses
+	order   []uint64 // room for choose
+	inWork  int      // tickets with an execution out
+	extra   float64  // further executions left in the budget
 	beatAt  Time
 	wakeFor Time
 	tellAt  Time
@@ -684,3 +689,11 @@
 		}
 	}
 }
+
+// mix is a hash of two numbers, by the steps of splitmix64.
+func mix(a, b uint32) uint32 {
+	x := (uint64(a)<<32 | uint64(b)) + 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return uint32(x >> 32)
+}
