--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -60,7 +60,7 @@
 	return nil
 }
 
-// ErrList is a list that can't be read.
+// ErrList is a list that can't be read, or a status other than 200 in its place, which the error names.
 var ErrList = errors.New("malformed list")
 
 // ParseList reads a whole message or nothing of it.
@@ -99,7 +99,7 @@
 		return l, true, err
 	}
 	if a.StatusCode != http.StatusOK {
-		return l, a.Close, ErrList
+		return l, a.Close, fmt.Errorf("%w: status %d", ErrList, a.StatusCode)
 	}
 	l, err = ParseList(raw)
 	return l, a.Close, err
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -227,3 +227,11 @@
 		t.Errorf("watch %q", w)
 	}
 }
+
+// A call that discovery turns away must be told from a list that can't be read: who is on call looks at the line.
+func TestRefusedListNamesItsStatus(t *testing.T) {
+	br := bufio.NewReader(strings.NewReader("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+	if _, _, err := ReadList(br); !errors.Is(err, ErrList) || !strings.Contains(err.Error(), "503") {
+		t.Errorf("%v", err)
+	}
+}
