A grant's fall is told to the set at once, its rise within an interval

At fault: report in rules/rules.go, which tells a fall and a rise alike, a third of a second after the last word and only once the grant has halved or doubled. What is told late on the way down passes beyond quota at every node of the set; what is told often on the way up drowns the words that matter. Change: a grant that falls by three tenths is told as soon as a sixth of the least gap has passed; rises and repeats wait for a whole interval. Covers any leap of a customer's demand. Harm: a customer whose demand swings fast is held at the low end for up to a second.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -55,7 +55,8 @@
 	turnEvery  = 2 * interval // a node of a set keeps its slot
 	leastGrant = 0.01         // of a customer's tickets
 	reserve    = 0.5          // of a store, kept for what passes until word gets round
-	grantStep  = 0.5          // a grant that falls, or rises, so far is told at once
+	grantFall  = 0.7          // a grant that falls so far is told at once,
+	grantRise  = 0.5          // one that rises so far within an interval
 	wideAt     = 0.75         // of what a peer takes in, when all tell all: past it not all can hear all
 	heardLeast = 0.1          // of a faded count of messages
 	mostEntry  = 40           // bytes of a customer in a message
@@ -686,8 +687,10 @@
 			c.news = true
 			keep = append(keep, i)
 		}
+		// A fall is told at once, as till then all pass too much; a rise may wait, as letters drown each other.
 		since, again := n.now-c.sentAt, c.grant < 1 && n.now-c.sentAt > silence/2
-		if since >= tellEvery && (again || c.grant < c.sent*grantStep || c.sent < 1 && c.grant > c.sent/grantStep) {
+		if fell := c.grant < c.sent*grantFall; fell && since >= tellEvery/6 ||
+			since >= interval && (again || c.sent < 1 && c.grant > c.sent/grantRise) {
 			c.sent, c.sentAt = c.grant, n.now
 			text := appendTold([]byte{grantMark}, told{c.key, c.grant, 0, c.plan, c.spread, c.first})
 			for k := range c.spread {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -529,3 +529,45 @@
 		t.Errorf("%d servers used, %d new ones after one left each node's list", len(load), kept)
 	}
 }
+
+// A home must tell a grant's fall at once, or a whole set passes too much for as long; its rises may wait.
+func TestFallOfAGrantIsToldAtOnce(t *testing.T) {
+	n := New(7, Settings{"nodes": "80", "node": "3", "peers": "true", "peers.take": "100", "tick": "10", "band.count": "1",
+		"band.0.contract": "15000", "plan.count": "1", "plan.0.rate": "20", "plan.0.depth": "40"}, Second)
+	key := uint64(3) // its home is node 3
+	type word struct {
+		at    Time
+		grant float64
+	}
+	var told []word
+	for now, asked := Second, 1.0; now < 9*Second; now += Second / 50 {
+		if asked *= 1.1; now > 4*Second {
+			asked = 0.1
+		}
+		n.Clock(now)
+		n.Heard(5, appendTold([]byte{useMark}, asks(key, min(asked, 60))))
+		for _, d := range pull(n, Tell) {
+			if d.Peer == 5 && d.Text[0] == grantMark {
+				m, _ := readTold(d.Text, 1, 80)
+				told = append(told, word{now, m.told[0].figure})
+			}
+		}
+	}
+	soon, rises := 0, 0
+	for i := 1; i < len(told); i++ {
+		gap := told[i].at - told[i-1].at
+		if told[i].grant < told[i-1].grant && gap < tellEvery {
+			soon++
+		}
+		if told[i].grant > told[i-1].grant {
+			if rises++; gap < interval {
+				t.Errorf("a rise is told after %d", gap)
+			}
+		}
+	}
+	if soon == 0 || rises == 0 {
+		t.Errorf("%d falls told soon, %d rises: %v", soon, rises, told)
+	}
+}
+
+func asks(key uint64, units float64) told { return told{key, units, 0, 0, 80, 0} }
