--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,29 +44,32 @@
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
 	silence     = 4 * interval  // without word of peers or meter
-	openRate    = 0.7           // of a cap on open executions over the usual latency, the rate that fills it
-	openWide    = 0.5           // of that where the bucket alone holds the cap, as what is out swings by chance
-	underUse    = 0.6           // of a quota
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
-	turnEvery  = 2 * interval // a node of a set keeps its slot
-	leastGrant = 0.01         // of a customer's tickets
-	reserve    = 0.5          // of a store, kept for what passes until word gets round
-	grantFall  = 0.7          // a grant that falls so far is told at once,
-	grantRise  = 0.5          // one that rises so far within an interval
-	wideAt     = 0.75         // of what a peer takes in, when all tell all: past it not all can hear all
-	heardLeast = 0.1          // of a faded count of messages
-	mostEntry  = 40           // bytes of a customer in a message
+	askWait    = 0.2  // of the shortest contract time, that a ticket waits for its customer's home
+	deafFor    = 0.5  // intervals that one which did not answer is not waited for
+	askOver    = 1.5  // tickets asked for, of each that the bucket has room for
+	holdFor    = 1.5  // usual latencies that an execution counts as out at a home, unless its end is told
+	leastGrant = 0.01 // of a customer's tickets
+	reserve    = 0.5  // of a store, kept for what passes until word gets round
+	homePart   = 0.7  // of a ceiling, kept by the home; the rest is for when that can't be asked
+	wideAt     = 0.75 // of what a peer takes in, when all tell all: past it not all can hear all
+	heardLeast = 0.1  // of a faded count of messages
+	mostEntry  = 56   // bytes of a customer in a message
 
-	paceFade    = 5 * interval // memory of a server's pace
-	pacePrior   = 6.0          // answers' worth of belief that a server is like the others
-	missesMost  = 2            // errors or time-outs in a row before suspicion
-	shutMost    = 8            // longest suspicion, in contract times
-	silentAfter = 10.0         // usual latencies that all out at a server waited, with no answer
-	coldMargin  = 0.4          // of the cold budget that is used at once, and as much again over a span
+	paceFade    = 5 * interval  // memory of a server's pace
+	pacePrior   = 6.0           // answers' worth of belief that a server is like the others
+	missesMost  = 2             // errors or time-outs in a row before suspicion
+	shutMost    = 8             // longest suspicion, in contract times
+	illFade     = 10 * interval // memory of what peers suspect,
+	illLeast    = 3.0           // of which so many words count,
+	illOver     = 1.4           // where they are so many times as for a server on average
+	trialEach   = 0.05          // trials at rested servers earned by an execution of the band
+	silentAfter = 10.0          // usual latencies that all out at a server waited, with no answer
+	coldMargin  = 0.4           // of the cold budget that is used at once, and as much again over a span
 
 	meets     = 8.0 // times that a node meets a server while a connection there may stand idle
 	leastUsed = 6.0 // servers that a node uses at least
@@ -105,8 +108,9 @@
 	n.coldSpan, n.coldFrom = set.Span("cold.span"), set.Num("cold.from")
 	n.wide = float64(n.nodes-1) > wideAt*set.Num("peers.take")*secs(tellEvery)
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
-	n.bands, n.plans = readBands(set), readPlans(set)
+	n.bands, n.plans, n.deaf = readBands(set), readPlans(set), make([]Time, n.nodes)
 	n.contract = slices.MinFunc(n.bands, func(a, b band) int { return int(a.contract - b.contract) }).contract
+	n.wait = Time(askWait * float64(n.contract))
 	if set["roster"] == "ask" {
 		n.watchAt = now
 	}
@@ -168,7 +172,7 @@
 	c := &n.customers[t.customer]
 	c.last = n.now
 	c.asked.add(a.Units, n.now, demandFade)
-	n.use(false, t.customer, a.Units, 0)
+	n.use(false, t.customer, a.Units, 0, 0)
 	n.push(i)
 }
 
@@ -217,14 +221,10 @@
 		n.took += float64(r.Took)
 		b.took.add(float64(r.Took), n.now, paceFade)
 		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
-			c.level -= (r.Units - t.guess) / t.share
-			n.use(true, t.customer, 0, r.Units-t.guess)
-		}
-	}
-	if r.Use > 0 {
-		c.meterAt, c.metered = n.now, float64(r.Use-1)/100*n.quotaRate(n.plans[c.plan])
-		if p := n.plans[c.plan]; p.rate > 0 && p.depth < t.guess*float64(c.spread) { // charged by older word
-			c.level += t.guess/t.share - t.guess/n.thinPart(c)
+			if !n.homed(c) || n.home(c) == n.me {
+				c.level -= (r.Units - t.guess) / t.share
+			}
+			n.use(true, t.customer, 0, r.Units-t.guess, 0)
 		}
 	}
 	if r.Settled {
@@ -282,11 +282,16 @@
 			continue
 		}
 		at := &n.servers[i].by[d.band]
-		if at.misses > 0 && !at.told || n.now-at.heard < n.contract && at.heard > 0 {
+		ill := &n.bands[d.band].ill
+		at.ill.add(1, n.now, illFade)
+		ill.add(1, n.now, illFade)
+		if at.misses > 0 && !at.told && n.now < at.until || n.now-at.heard < n.contract && at.heard > 0 {
 			continue
 		}
-		at.misses, at.told = max(at.misses, 1), true
-		at.until = max(at.until, n.now+min(d.rest, shutMost*n.contract))
+		if d.rest > 0 || at.ill.n >= illLeast && at.ill.n*float64(n.ready) > illOver*ill.n {
+			at.misses, at.told = max(at.misses, 1), true
+			at.until = max(at.until, n.now+min(max(d.rest, n.contract), shutMost*n.contract))
+		}
 	}
 }
 
@@ -295,8 +300,9 @@
 	n.text = append(n.text[:0], doubtMark)
 	for i := range n.servers {
 		for k := range n.servers[i].by {
-			if at := &n.servers[i].by[k]; n.now < at.until && !at.told && len(n.text)+mostEntry < maxTell {
-				n.text = appendDoubt(n.text, doubted{n.servers[i].Server, k, at.until - n.now})
+			if at := &n.servers[i].by[k]; at.misses > 0 && !at.told && (n.wide || n.now < at.until) &&
+				len(n.text)+mostEntry < maxTell {
+				n.text = appendDoubt(n.text, doubted{n.servers[i].Server, k, max(0, at.until-n.now)})
 			}
 		}
 	}
@@ -317,7 +323,7 @@
 		return false
 	}
 	n.doubt(m.doubts)
-	n.heardAt = n.now
+	n.heardAt, n.deaf[from] = n.now, 0
 	for _, t := range m.told {
 		if !n.inSet(n.me, t.first, t.spread) || !n.inSet(from, t.first, t.spread) {
 			continue
@@ -327,28 +333,40 @@
 		case m.mark == useMark && n.wide && n.home(c) == n.me:
 			c.last = n.now
 			c.level -= t.passed
-			n.use(true, i, t.figure, t.passed)
+			c.wanted.add(t.figure, n.now, demandFade)
+			c.holds = c.holds[min(t.ended, len(c.holds)):]
+			if n.regrant(c); t.figure > 0 && !c.free { // it took it for free
+				n.say(c, from, 0, unheard)
+			}
+		case m.mark == askMark && n.wide && n.home(c) == n.me:
+			c.last = n.now
+			said := denied
+			if n.allow(c, t.figure, t.passed, min(t.ended, len(n.bands)-1)) {
+				said = granted
+			}
+			n.say(c, from, t.ref, said)
 		case m.mark == useMark && !n.wide:
 			c.wanted.add(t.figure, n.now, demandFade)
 		case m.mark == grantMark && n.home(c) == from:
-			c.last, c.grant, c.grantAt = n.now, min(t.figure, 1), n.now
+			c.last, c.grant, c.grantAt, c.free, c.owed = n.now, min(t.figure, 1), n.now, t.free, 0
+			if k := n.ticketOf.find(t.ref); t.verdict != unheard && k >= 0 && n.tickets[k].customer == i &&
+				n.tickets[k].asked > 0 {
+				n.tickets[k].verdict = t.verdict
+				n.push(k)
+			}
 		}
 	}
 	return true
 }
 
 // use notes what is to be told of a customer's use: what was asked, to all, or, where not all nodes can
-// hear all (wide), what was passed on, to its home, and there what its set must hear.
-func (n *Node) use(wide bool, i int32, asked, passed float64) {
+// hear all (wide), what was passed on without asking and what has ended, to its home.
+func (n *Node) use(wide bool, i int32, asked, passed float64, ended int) {
 	c := &n.customers[i]
-	if wide != n.wide || c.spread <= 1 || !n.set.Is("peers") {
+	if wide != n.wide || c.spread <= 1 || !n.set.Is("peers") || n.wide && n.home(c) == n.me {
 		return
 	}
-	if n.wide && n.home(c) == n.me {
-		c.wanted.add(asked, n.now, demandFade)
-	} else {
-		c.toldAsked, c.toldPassed = c.toldAsked+asked, c.toldPassed+passed
-	}
+	c.toldAsked, c.toldPassed, c.toldEnded = c.toldAsked+asked, c.toldPassed+passed, c.toldEnded+ended
 	if !c.news {
 		c.news = true
 		n.news = append(n.news, i)
@@ -427,7 +445,9 @@
 	}
 	ok, advice := left > 0, Time(0)
 	if first := len(t.runs) == 0; ok && first {
-		ok, advice = n.admit(t)
+		if ok, advice = n.admit(t); !ok && n.waits(t) {
+			return Decision{}, false
+		}
 	} else if ok {
 		ok = n.further(t)
 	}
@@ -456,8 +476,13 @@
 		n.coldLeak(srv)
 		srv.sentNow++
 	}
+	b := &n.bands[t.band]
+	b.trials = min(b.trials+trialEach, 2)
 	if n.now < at.until || at.misses > 0 {
 		at.trying = true
+		if at.shut > 0 || at.told {
+			b.trials = max(0, b.trials-1)
+		}
 	}
 	n.sends.add(1, n.now, paceFade)
 	t.runs = append(t.runs, execution{server: s, sent: n.now, out: true, mayRun: true})
@@ -492,33 +517,45 @@
 
 // admit is the ordinary path: λ first, then the customer's bucket, then a ceiling.
 func (n *Node) admit(t *ticket) (bool, Time) {
+	if t.asked == 0 {
+		if why := n.pressed(t); why < byKinds {
+			return n.refuse(why, 0)
+		}
+	}
+	c := &n.customers[t.customer]
+	if ok, advice := n.inQuota(c, t); !ok && n.waits(t) {
+		return false, 0
+	} else if !ok {
+		return n.refuse(byQuota, advice)
+	}
+	if t.verdict != granted && !n.ceilingRoom(c, t) {
+		return n.refuse(byCeiling, 0)
+	}
+	return true, 0
+}
+
+// pressed is why a ticket can't pass the limits on the back end, or byKinds.
+func (n *Node) pressed(t *ticket) int {
 	// A ticket whose client leaves before an execution usually ends would be waste, and asked for again.
 	// Guards against crowds of the impatient; could harm a client that is often served quicker.
 	if left := float64(t.until - n.now); left < hopeless*n.usualOf(&n.bands[t.band]) {
-		return n.refuse(byHopeless, 0)
+		return byHopeless
 	}
 	if n.lambda == 0 { // fresh: a few executions a ready server
 		if n.pressing() >= n.few(fresh) {
-			return n.refuse(byFresh, 0)
+			return byFresh
 		}
 	} else {
 		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
 		n.tokensAt = n.now
 		if n.tokens < 1 {
-			return n.refuse(byLambda, 0)
+			return byLambda
 		}
 		if n.pressing() >= n.openCap() {
-			return n.refuse(byOpen, 0)
+			return byOpen
 		}
 	}
-	c := &n.customers[t.customer]
-	if ok, advice := n.inQuota(c, t); !ok {
-		return n.refuse(byQuota, advice)
-	}
-	if !n.ceilingRoom(c, t) {
-		return n.refuse(byCeiling, 0)
-	}
-	return true, 0
+	return byKinds
 }
 
 // refuse counts a first execution refused on the ordinary path, by its reason, for the interval's note.
@@ -564,7 +601,7 @@
 		s := &n.servers[i]
 		all += s.open
 		for k := range s.by {
-			if at := &s.by[k]; n.suspect(at) {
+			if at := &s.by[k]; n.suspect(k, at) {
 				suspects++
 			} else {
 				sound += at.open - at.lost
@@ -581,74 +618,157 @@
 func (n *Node) charge(t *ticket) {
 	c := &n.customers[t.customer]
 	n.tokens--
-	c.level = max(c.level, 0) - t.guess/t.share
-	n.use(true, t.customer, t.guess/max(leastGrant, c.grant), t.guess)
-	c.passed.add(t.guess, n.now, demandFade)
-	c.ceiling -= t.guess
+	if !n.homed(c) {
+		c.level = max(c.level, 0) - t.guess/t.share
+	} else if t.asked == 0 {
+		n.use(true, t.customer, t.guess, t.guess, 0)
+	}
+	if t.verdict != granted {
+		c.ceiling -= t.guess
+	}
 }
 
 // inQuota is the customer's bucket, kept in the whole customer's terms: it refills at the whole quota
 // and a ticket here stands for 1/part tickets at all nodes, which is a refill of quota times part.
 func (n *Node) inQuota(c *customer, t *ticket) (bool, Time) {
+	advice := Time(n.usualOf(&n.bands[t.band]))
+	if n.homed(c) {
+		return n.byHome(c, t), interval
+	}
 	p := n.plans[c.plan]
 	t.share = n.part(c)
-	if t.share == 1 && c.spread > 1 && n.wide {
-		if n.home(c) != n.me && n.now-c.grantAt > silence { // no word: enough is left
-			c.grant = 1
-		}
-		// A cap on what is out is held better by a part of the nodes, in turns, with one out each.
-		turn := (n.me - c.first + n.nodes + int(n.now/turnEvery)*c.spread/3) % n.nodes % c.spread
-		held := c.out > 0 || float64(turn) >= c.grant*float64(c.spread)
-		if p.rate > 0 {
-			held = n.chance.unit() >= c.grant
-		}
-		if c.grant < 1 && held {
-			return false, Time(n.usualOf(&n.bands[t.band]))
-		}
-	}
 	if p.open > 0 && c.out >= max(1, int(math.Round(t.share*float64(p.open)))) {
-		return false, Time(n.usualOf(&n.bands[t.band]))
+		return false, advice
 	}
 	rate, depth := n.refill(c)
 	if rate <= 0 {
 		return true, 0
 	}
-	if n.set.Span("meter") > 0 && depth < t.guess*float64(c.spread) {
-		t.share = n.thinPart(c)
-	}
 	if short := min(t.guess, depth) - c.level; short > 0 {
 		return false, Time(short / rate * float64(Second))
 	}
 	return true, 0
 }
 
-// thinPart is the part where an even slice of the store holds no ticket: the slice over the use last
-// metered, however old, as a bucket of slices would turn away what one far under its quota sends.
-func (n *Node) thinPart(c *customer) float64 {
-	return 1 / (float64(c.spread) * min(1, max(underUse, c.metered/n.quotaRate(n.plans[c.plan]))))
-}
-
-// refill brings a customer's bucket up to date. A cap alone lets every node keep one out for the customer;
-// where it comes in by more nodes than the cap, a bucket by Little's law holds their sum.
+// refill brings a customer's bucket up to date.
 func (n *Node) refill(c *customer) (rate, depth float64) {
 	p := n.plans[c.plan]
-	if rate, depth = p.rate, p.depth; rate <= 0 && p.open > 0 {
-		rate, depth = openRate*n.quotaRate(p), float64(p.open)
-		if n.wide {
-			rate *= openWide
+	c.level = min(c.level+p.rate*secs(n.now-c.filled), p.depth)
+	c.filled = n.now
+	return p.rate, p.depth
+}
+
+// homed tells whether a customer's bucket is kept by its home: where not all nodes can hear all.
+func (n *Node) homed(c *customer) bool { return n.wide && c.spread > 1 && n.set.Is("peers") }
+
+// byHome asks the home of a customer, a node of its set, for each of its tickets; the home keeps the one
+// bucket, what is out for the customer and most of its ceiling, so that the part of the demand that passes here
+// is the design's, ticket by ticket. While the bucket is well filled the home lets tickets pass freely and is told
+// afterwards; where far more is asked than fits, a node asks for a part of the tickets only. It guards against
+// a quota granted by each of many nodes that see too little of a customer for buckets of their own. It
+// could harm while a home is down or stands still: a ticket waits for it, then passes by what was last told.
+func (n *Node) byHome(c *customer, t *ticket) bool {
+	home := n.home(c)
+	if home == n.me {
+		if n.allow(c, t.guess, t.guess, t.band) {
+			t.verdict = granted
 		}
+		return t.verdict == granted
 	}
-	c.level = min(c.level+rate*secs(n.now-c.filled), depth)
-	c.filled = n.now
-	return rate, depth
+	if c.free && t.asked == 0 {
+		return true
+	}
+	if t.asked == 0 {
+		if c.owed += t.guess; n.chance.unit() >= max(c.grant, float64(n.now-c.grantAt)/float64(silence)) {
+			return false
+		}
+		t.asked = n.now
+		if n.now < n.deaf[home] || t.until-n.now < 2*(n.wait+n.margin()) {
+			t.asked -= n.wait
+		}
+		n.mail = append(n.mail, letter{home, appendTold([]byte{askMark}, told{key: c.key, passed: t.guess,
+			figure: c.owed, plan: c.plan, spread: c.spread, first: c.first, ref: t.id, ended: t.band})})
+	}
+	if t.verdict != unheard || n.waits(t) {
+		return t.verdict == granted
+	}
+	n.deaf[home] = max(n.deaf[home], n.now+Time(deafFor*float64(interval)))
+	p := &n.plans[c.plan]
+	slice := p.rate / float64(c.spread) / max(1e-9, c.asked.rate(n.now, demandFade))
+	return (p.open == 0 || c.out == 0) && (p.rate <= 0 || n.chance.unit() < slice)
+}
+
+// waits tells whether a ticket waits for its customer's home.
+func (n *Node) waits(t *ticket) bool {
+	return t.asked > 0 && t.verdict == unheard && n.now < t.asked+n.wait
+}
+
+// allow lets a ticket pass at its customer's home, and books it, if bucket, cap and ceiling have room.
+func (n *Node) allow(c *customer, asked, units float64, band int) bool {
+	p := &n.plans[c.plan]
+	c.wanted.add(asked, n.now, demandFade)
+	rate, depth := n.refill(c)
+	for len(c.holds) > 0 && c.holds[0] <= n.now {
+		c.holds = c.holds[1:]
+	}
+	ceiling := p.ceilingRate > 0 || p.ceilingDepth > 0
+	c.homeCeiling = min(c.homeCeiling+homePart*p.ceilingRate*secs(n.now-c.homeAt), homePart*p.ceilingDepth)
+	c.homeAt = n.now
+	ok := (rate <= 0 || c.level >= min(units, depth)) && (p.open == 0 || len(c.holds) < p.open) &&
+		(!ceiling || c.homeCeiling >= units)
+	if ok {
+		c.level -= units
+		c.homeCeiling -= units
+		if p.open > 0 {
+			c.holds = append(c.holds, n.now+Time(holdFor*n.usualOf(&n.bands[band])))
+		}
+	}
+	n.regrant(c)
+	return ok
+}
+
+// regrant settles at a customer's home whether its tickets pass freely, and else the part to ask for. What
+// ends it is told to the whole set at once.
+func (n *Node) regrant(c *customer) {
+	p := &n.plans[c.plan]
+	rate, depth := n.refill(c)
+	c.grant = 1
+	if want := c.wanted.rate(n.now, demandFade); rate > 0 && want > 0 {
+		c.grant = min(1, max(leastGrant, askOver*(rate+max(0, c.level)/secs(interval))/want))
+	}
+	least := reserve
+	if !c.free {
+		least = (1 + reserve) / 2
+	}
+	was := c.free
+	c.free = p.open == 0 && p.ceilingRate <= 0 && p.ceilingDepth <= 0 && (rate <= 0 || c.level >= least*depth)
+	for k := range c.spread {
+		if peer := (c.first + k) % n.nodes; was && !c.free && peer != n.me {
+			n.say(c, peer, 0, unheard)
+		}
+	}
+}
+
+// say writes to a peer what may pass of a customer.
+func (n *Node) say(c *customer, peer int, ref uint32, v verdict) {
+	n.mail = append(n.mail, letter{peer, appendTold([]byte{grantMark}, told{key: c.key, figure: c.grant, plan: c.plan,
+		spread: c.spread, first: c.first, ref: ref, verdict: v, free: c.free})})
+}
+
+// leave notes that nothing of a ticket is out any more, for the cap of its customer.
+func (n *Node) leave(t *ticket) {
+	c := &n.customers[t.customer]
+	if n.plans[c.plan].open == 0 || !n.homed(c) || t.verdict != granted || len(t.runs) == 0 {
+		return
+	}
+	if n.home(c) == n.me {
+		c.holds = c.holds[min(1, len(c.holds)):]
+	}
+	n.use(true, t.customer, 0, 0, 1)
 }
 
 // report writes the letters to peers: what was asked here, of customers with a rate past half their even
-// slice, to all. Where not all nodes can hear all, one node of a customer's set is its home: the others
-// tell it what they pass on, and it keeps the one bucket. While that holds enough until word gets round the
-// home is silent and all take part 1; then it tells the set which part of the tickets may pass. It guards
-// against a quota granted by each of many nodes that see too little of a customer for buckets of their
-// own; it covers shifts between them. While a home is down its customers pass freely: there it could harm.
+// slice, to all; or, where not all nodes can hear all, what passed and ended here, to each customer's home.
 func (n *Node) report() {
 	if !n.wide { // goes out even when empty, so that silence means something
 		n.mail = append(n.mail, letter{Everyone, []byte{useMark}})
@@ -662,43 +782,20 @@
 		}
 		c := &n.customers[i]
 		c.news = false
-		if !n.wide && c.asked.rate(n.now, demandFade) <= n.quotaRate(n.plans[c.plan])/float64(2*c.spread) {
+		to := Everyone
+		if n.wide {
+			to = n.home(c)
+		} else if c.asked.rate(n.now, demandFade) <= n.plans[c.plan].rate/float64(2*c.spread) {
 			c.toldAsked = 0
 			continue
 		}
-		if home := n.home(c); !n.wide || home != n.me {
-			if !n.wide {
-				home = Everyone
-			}
-			if n.wide || len(n.mail[len(n.mail)-1].text)+mostEntry > maxTell {
-				n.mail = append(n.mail, letter{home, []byte{useMark}})
-			}
-			m := &n.mail[len(n.mail)-1]
-			m.text = appendTold(m.text, told{c.key, c.toldAsked, c.toldPassed, c.plan, c.spread, c.first})
-			c.toldAsked, c.toldPassed = 0, 0
-			continue
-		}
-		rate, depth := n.refill(c)
-		want := c.wanted.rate(n.now, demandFade)
-		if c.grant = 1; want > 0 {
-			c.grant = min(1, max(leastGrant, (rate+(c.level-reserve*depth)/secs(interval))/want))
-		}
-		if c.grant < 1 { // look again until it is over
-			c.news = true
-			keep = append(keep, i)
-		}
-		// A fall is told at once, as till then all pass too much; a rise may wait, as letters drown each other.
-		since, again := n.now-c.sentAt, c.grant < 1 && n.now-c.sentAt > silence/2
-		if fell := c.grant < c.sent*grantFall; fell && since >= tellEvery/6 ||
-			since >= interval && (again || c.sent < 1 && c.grant > c.sent/grantRise) {
-			c.sent, c.sentAt = c.grant, n.now
-			text := appendTold([]byte{grantMark}, told{c.key, c.grant, 0, c.plan, c.spread, c.first})
-			for k := range c.spread {
-				if peer := (c.first + k) % n.nodes; peer != n.me {
-					n.mail = append(n.mail, letter{peer, text})
-				}
-			}
+		if n.wide || len(n.mail[len(n.mail)-1].text)+mostEntry > maxTell {
+			n.mail = append(n.mail, letter{to, []byte{useMark}})
 		}
+		m := &n.mail[len(n.mail)-1]
+		m.text = appendTold(m.text, told{key: c.key, figure: c.toldAsked, passed: c.toldPassed, plan: c.plan,
+			spread: c.spread, first: c.first, ended: c.toldEnded})
+		c.toldAsked, c.toldPassed, c.toldEnded = 0, 0, 0
 	}
 	n.news = keep
 }
@@ -711,15 +808,7 @@
 	slice := 1 / float64(c.spread)
 	own := c.asked.rate(n.now, demandFade)
 	all := own
-	if n.set.Span("meter") > 0 {
-		if n.now-c.meterAt > silence || c.meterAt == 0 {
-			return slice
-		}
-		own = c.passed.rate(n.now, demandFade)
-		all = max(own, c.metered)
-	} else if n.wide && n.set.Is("peers") {
-		return 1 // see report
-	} else if n.set.Is("peers") {
+	if n.set.Is("peers") {
 		if n.now-n.heardAt > silence || n.now-c.seen < 2*tellEvery {
 			return slice
 		}
@@ -730,31 +819,26 @@
 	} else {
 		return slice
 	}
-	// Metered use follows what was let in and would feed on itself; peers tell late: some belief in the slice.
-	belief := sliceBelief * n.quotaRate(n.plans[c.plan])
+	// Peers tell late: some belief in the slice.
+	belief := sliceBelief * n.plans[c.plan].rate
 	if all+belief <= 0 {
 		return slice
 	}
 	return min(1, (own+belief*slice)/(all+belief))
 }
 
-// quotaRate is a plan's quota in units a second; a cap on open executions is turned into one by
-// Little's law.
-func (n *Node) quotaRate(p plan) float64 {
-	if p.rate > 0 || p.open == 0 {
-		return p.rate
-	}
-	return float64(p.open) / n.usualOf(&n.bands[0]) * float64(Second)
-}
-
-// ceilingRoom keeps a plan's hard ceiling alone: 1/spread of it, as a customer comes in through no
-// other nodes than its set. It starts empty, since a node can't tell a restart from a first start.
+// ceilingRoom keeps a plan's hard ceiling alone: 1/spread of it, or of what a home does not keep, as a customer
+// comes in through no other nodes than its set. It starts empty, since a node can't tell a restart from a first
+// start; so does a home's part.
 func (n *Node) ceilingRoom(c *customer, t *ticket) bool {
 	p := n.plans[c.plan]
 	if p.ceilingRate <= 0 && p.ceilingDepth <= 0 {
 		return true
 	}
 	share := 1 / float64(c.spread)
+	if n.homed(c) {
+		share *= 1 - homePart
+	}
 	c.ceiling = min(c.ceiling+p.ceilingRate*share*secs(n.now-c.ceilingAt), p.ceilingDepth*share)
 	c.ceilingAt = n.now
 	return c.ceiling >= t.guess
@@ -801,7 +885,7 @@
 		}
 		for i := range n.servers {
 			s := &n.servers[i]
-			if s.weight <= 0 || level < 3 && n.suspect(&s.by[t.band]) || level == 0 && !s.mine {
+			if s.weight <= 0 || level < 3 && n.suspect(t.band, &s.by[t.band]) || level == 0 && !s.mine {
 				continue
 			}
 			if fair := (open[of] + 1) * s.weight / total[of]; level < 2 &&
@@ -888,8 +972,8 @@
 }
 
 // suspect tells whether a server is out of the rotation; past its rest it gets one trial at a time.
-func (n *Node) suspect(at *standing) bool {
-	return n.now < at.until || at.trying
+func (n *Node) suspect(band int, at *standing) bool {
+	return n.now < at.until || at.trying || (at.shut > 0 || at.told) && n.bands[band].trials < 1
 }
 
 // coldShare is the least share of its capacity that a fresh server has by now.
@@ -961,6 +1045,9 @@
 	}
 	for i := range n.tickets {
 		t := &n.tickets[i]
+		if t.live && !t.closed && t.asked > 0 && len(t.runs) == 0 && !n.waits(t) { // its home has not answered
+			n.push(int32(i))
+		}
 		if !t.live || t.out == 0 {
 			continue
 		}
@@ -969,7 +1056,7 @@
 		for k := range t.runs {
 			x := &t.runs[k]
 			if !x.out || t.closed || t.bound || n.now-x.sent < due ||
-				n.now >= t.came+b.contract || !n.suspect(&n.servers[x.server].by[t.band]) || !n.further(t) {
+				n.now >= t.came+b.contract || !n.suspect(t.band, &n.servers[x.server].by[t.band]) || !n.further(t) {
 				continue
 			}
 			n.recall(t, k)
--- a/rules/types.go
+++ b/rules/types.go
@@ -198,8 +198,10 @@
 type band struct {
 	contract, window Time
 	repeats          repeatKind
-	group            string // referenced: all, zone or cell
-	took             faded  // completed latencies
+	group            string  // referenced: all, zone or cell
+	took             faded   // completed latencies
+	ill              faded   // peers' words of misses
+	trials           float64 // trials at rested servers that it may spend
 }
 
 // Why a ticket is refused, as the interval's note counts them: too little time left, a fresh node's few, λ's
@@ -273,8 +275,19 @@
 	share    float64 // the part that the bucket was charged by
 	runs     []execution
 	out      int
+	asked    Time    // when its customer's home was asked; 0: not
+	verdict  verdict // of the home
 }
 
+// verdict is what a customer's home says of one ticket.
+type verdict uint8
+
+const (
+	unheard verdict = iota
+	granted
+	denied
+)
+
 // appServer lives as long as the roster, or an execution out, names it.
 type appServer struct {
 	Listing
@@ -298,6 +311,7 @@
 	misses int     // ends without an answer in a row
 	until  Time    // suspected until then
 	shut   Time    // how long the last suspicion lasted
+	ill    faded   // peers' words of misses
 	told   bool    // by a peer, not found here
 	trying bool    // one trial execution is out after a suspicion
 	heard  Time    // last answer of any kind
@@ -316,23 +330,24 @@
 	last      Time // last ticket
 	level     float64
 	filled    Time
-	asked     faded   // units asked here, a decayed sum
-	passed    faded   // units sent on here
-	metered   float64 // units a second over all nodes
-	meterAt   Time
+	asked     faded // units asked here, a decayed sum
 	out       int
 	ceiling   float64
 	ceilingAt Time
 
-	// Where not all nodes can hear all, see share.
-	wanted     faded   // at its home: units asked at all nodes
-	grant      float64 // the part of its tickets that may pass, as told by its home, or at its home
-	grantAt    Time    // when that was told
-	sent       float64 // at its home: the grant last told to the others
-	sentAt     Time
-	news       bool    // waits for the next message
-	toldAsked  float64 // elsewhere: units asked and passed that its home does not know of
-	toldPassed float64
+	// Where not all nodes can hear all, see byHome.
+	wanted      faded   // at its home: units asked at all nodes
+	grant       float64 // the part of its tickets that are asked for, as told by its home, or at its home
+	grantAt     Time    // when that was told
+	owed        float64 // elsewhere: units asked that its home has not answered for
+	free        bool    // its tickets pass and are told of afterwards, as told by its home, or at its home
+	holds       []Time  // at its home: when each execution that it let out counts as ended, the first first
+	homeCeiling float64 // at its home: the part of the ceiling kept there,
+	homeAt      Time    // and when it was filled
+	news        bool    // waits for the next message
+	toldAsked   float64 // elsewhere: units asked and passed, and executions ended, that its home does not know of
+	toldPassed  float64
+	toldEnded   int
 }
 
 // letter is a message that waits to be sent.
@@ -383,7 +398,9 @@
 	wakeFor Time
 	tellAt  Time
 	wide    bool     // more nodes than can all hear each other
-	news    []int32  // customers to tell their home, or from their home, of
+	news    []int32  // customers to tell peers of
+	deaf    []Time   // until when each peer counts as one that does not answer
+	wait    Time     // that a ticket waits for a home's answer
 	doubtAt Time     // next message of doubts
 	mail    []letter // messages that wait for Next
 	heardAt Time     // last message of any peer
@@ -455,7 +472,7 @@
 }
 
 // message is one between peers, by its mark: use, what was asked and passed (which may be below 0) of
-// customers since the last; grants, the part of their tickets that may pass; or doubts of servers.
+// customers since the last; an ask for one ticket; the home's answer, or its word on all tickets; or doubts.
 type message struct {
 	mark   byte
 	told   []told
@@ -467,6 +484,10 @@
 	key                 uint64
 	figure, passed      float64
 	plan, spread, first int
+	ref                 uint32  // asks and answers: the ticket
+	ended               int     // use: executions that ended
+	verdict             verdict // answers
+	free                bool    // answers
 }
 
 // doubted is a server's band that a peer lets rest, and for how much longer.
@@ -480,6 +501,7 @@
 	useMark   = 0xC8
 	grantMark = 0xC9
 	doubtMark = 0xCA
+	askMark   = 0xCB
 	mostTold  = math.MaxUint32
 )
 
@@ -489,7 +511,14 @@
 	b = binary.AppendVarint(b, int64(min(max(-mostTold, t.passed*100), mostTold)))
 	b = binary.AppendUvarint(b, uint64(t.plan))
 	b = binary.AppendUvarint(b, uint64(t.spread))
-	return binary.AppendUvarint(b, uint64(t.first))
+	b = binary.AppendUvarint(b, uint64(t.first))
+	b = binary.AppendUvarint(b, uint64(t.ref))
+	b = binary.AppendUvarint(b, uint64(t.ended))
+	said := uint64(t.verdict) << 1
+	if t.free {
+		said |= 1
+	}
+	return binary.AppendUvarint(b, said)
 }
 
 func appendDoubt(b []byte, d doubted) []byte {
@@ -500,7 +529,7 @@
 
 // readTold reads a whole message or nothing of it.
 func readTold(b []byte, plans, nodes int) (m message, ok bool) {
-	if len(b) < 1 || b[0] < useMark || b[0] > doubtMark {
+	if len(b) < 1 || b[0] < useMark || b[0] > askMark {
 		return m, false
 	}
 	m.mark, b, ok = b[0], b[1:], true
@@ -523,6 +552,9 @@
 		v := number(2*mostTold + 1) // zigzag, as AppendVarint writes it
 		t.passed = float64(int64(v>>1)^-int64(v&1)) / 100
 		t.plan, t.spread, t.first = int(number(mostTold)), int(number(mostTold)), int(number(mostTold))
+		t.ref, t.ended = uint32(number(mostTold)), int(number(mostTold))
+		said := number(uint64(denied)<<1 | 1)
+		t.verdict, t.free = verdict(said>>1), said&1 == 1
 		ok = ok && t.plan < plans && t.spread >= 1 && t.spread <= nodes && t.first < nodes
 		m.told = append(m.told, t)
 	}
@@ -543,8 +575,7 @@
 			n.customers = append(n.customers, customer{})
 		}
 		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1, sent: 1,
-			metered: n.quotaRate(n.plans[plan])}
+			ceilingAt: n.now, homeAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1}
 	}
 	c := &n.customers[i]
 	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
@@ -683,6 +714,7 @@
 // free gives a ticket's slot back, once it is not queued any more.
 func (n *Node) free(i int32) {
 	if t := &n.tickets[i]; t.live {
+		n.leave(t)
 		t.live, t.runs = false, t.runs[:0] // their servers may be forgotten from now on
 		if !t.queued {
 			n.ticketOf.drop(t.id)
