--- a/rules/rules.go
+++ b/rules/rules.go
@@ -50,9 +50,11 @@
 	tellShare   = 0.5           // of what a peer takes in, used when there is more to tell
 
 	askWait    = 0.2  // of the shortest contract time, that a ticket waits for its customer's home
-	deafFor    = 0.5  // intervals that one which did not answer is not waited for
+	askMost    = 0.7  // of what a peer takes in, that a home has itself asked for,
+	askLeast   = 0.2  // and for one customer at least
+	oftenIs    = 0.25 // units a second at each node of a set, of a customer that nodes may let pass freely
 	askOver    = 1.5  // tickets asked for, of each that the bucket has room for
-	holdFor    = 1.5  // usual latencies that an execution counts as out at a home, unless its end is told
+	holdFor    = 3.0  // usual latencies that an execution counts as out at a home, unless its end is told
 	leastGrant = 0.01 // of a customer's tickets
 	reserve    = 0.5  // of a store, kept for what passes until word gets round
 	homePart   = 0.7  // of a ceiling, kept by the home; the rest is for when that can't be asked
@@ -108,7 +110,7 @@
 	n.coldSpan, n.coldFrom = set.Span("cold.span"), set.Num("cold.from")
 	n.wide = float64(n.nodes-1) > wideAt*set.Num("peers.take")*secs(tellEvery)
 	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
-	n.bands, n.plans, n.deaf = readBands(set), readPlans(set), make([]Time, n.nodes)
+	n.bands, n.plans = readBands(set), readPlans(set)
 	n.contract = slices.MinFunc(n.bands, func(a, b band) int { return int(a.contract - b.contract) }).contract
 	n.wait = Time(askWait * float64(n.contract))
 	if set["roster"] == "ask" {
@@ -172,6 +174,9 @@
 	c := &n.customers[t.customer]
 	c.last = n.now
 	c.asked.add(a.Units, n.now, demandFade)
+	if n.now == n.stalledAt {
+		n.waited++
+	}
 	n.use(false, t.customer, a.Units, 0, 0)
 	n.push(i)
 }
@@ -323,7 +328,8 @@
 		return false
 	}
 	n.doubt(m.doubts)
-	n.heardAt, n.deaf[from] = n.now, 0
+	n.heardAt = n.now
+	n.heard.add(1, n.now, demandFade)
 	for _, t := range m.told {
 		if !n.inSet(n.me, t.first, t.spread) || !n.inSet(from, t.first, t.spread) {
 			continue
@@ -348,7 +354,7 @@
 		case m.mark == useMark && !n.wide:
 			c.wanted.add(t.figure, n.now, demandFade)
 		case m.mark == grantMark && n.home(c) == from:
-			c.last, c.grant, c.grantAt, c.free, c.owed = n.now, min(t.figure, 1), n.now, t.free, 0
+			c.last, c.grant, c.grantAt, c.free = n.now, min(t.figure, 1), n.now, t.free
 			if k := n.ticketOf.find(t.ref); t.verdict != unheard && k >= 0 && n.tickets[k].customer == i &&
 				n.tickets[k].asked > 0 {
 				n.tickets[k].verdict = t.verdict
@@ -385,6 +391,9 @@
 	if n.now >= n.beatAt {
 		n.beat()
 	}
+	if n.waited > 0 {
+		n.afterStall()
+	}
 	for {
 		if k := len(n.drops); k > 0 {
 			d := n.drops[k-1]
@@ -436,6 +445,19 @@
 	return Decision{}, false
 }
 
+// afterStall puts what came while this node stood still in order: the last first, since those are in time yet,
+// each with the time that it has waited by its place, as they came over the whole stall.
+func (n *Node) afterStall() {
+	late := n.todo[max(0, len(n.todo)-n.waited):]
+	for k, i := range late {
+		if t := &n.tickets[i]; t.came == n.now {
+			t.came -= n.stall * Time(2*(len(late)-k)-1) / Time(2*len(late))
+		}
+	}
+	slices.Reverse(late)
+	n.waited = 0
+}
+
 // decide settles what happens with a ticket now; nothing may be the answer while a copy is out.
 func (n *Node) decide(i int32) (Decision, bool) {
 	t := &n.tickets[i]
@@ -538,7 +560,9 @@
 func (n *Node) pressed(t *ticket) int {
 	// A ticket whose client leaves before an execution usually ends would be waste, and asked for again.
 	// Guards against crowds of the impatient; could harm a client that is often served quicker.
-	if left := float64(t.until - n.now); left < hopeless*n.usualOf(&n.bands[t.band]) {
+	b := &n.bands[t.band]
+	if left := float64(t.until - n.now); left < hopeless*n.usualOf(b) ||
+		n.stalledAt == n.now && float64(t.came+b.contract-n.now) < hopeless*n.usualOf(b) {
 		return byHopeless
 	}
 	if n.lambda == 0 { // fresh: a few executions a ready server
@@ -546,7 +570,11 @@
 			return byFresh
 		}
 	} else {
-		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burstOf+1)
+		burst := burstOf * secs(interval)
+		if n.stalledAt == n.now { // nothing passed meanwhile
+			burst = max(burst, secs(n.stall))
+		}
+		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burst+1)
 		n.tokensAt = n.now
 		if n.tokens < 1 {
 			return byLambda
@@ -683,18 +711,18 @@
 			return false
 		}
 		t.asked = n.now
-		if n.now < n.deaf[home] || t.until-n.now < 2*(n.wait+n.margin()) {
+		if t.until-n.now < 2*(n.wait+n.margin()) {
 			t.asked -= n.wait
 		}
 		n.mail = append(n.mail, letter{home, appendTold([]byte{askMark}, told{key: c.key, passed: t.guess,
 			figure: c.owed, plan: c.plan, spread: c.spread, first: c.first, ref: t.id, ended: t.band})})
+		c.owed = 0
 	}
 	if t.verdict != unheard || n.waits(t) {
 		return t.verdict == granted
 	}
-	n.deaf[home] = max(n.deaf[home], n.now+Time(deafFor*float64(interval)))
 	p := &n.plans[c.plan]
-	slice := p.rate / float64(c.spread) / max(1e-9, c.asked.rate(n.now, demandFade))
+	slice := p.rate / float64(c.spread) / max(1e-9, c.asked.rate(n.now, demandFade)-t.guess/secs(demandFade))
 	return (p.open == 0 || c.out == 0) && (p.rate <= 0 || n.chance.unit() < slice)
 }
 
@@ -707,6 +735,7 @@
 func (n *Node) allow(c *customer, asked, units float64, band int) bool {
 	p := &n.plans[c.plan]
 	c.wanted.add(asked, n.now, demandFade)
+	c.size += fade * (units - c.size)
 	rate, depth := n.refill(c)
 	for len(c.holds) > 0 && c.holds[0] <= n.now {
 		c.holds = c.holds[1:]
@@ -733,15 +762,22 @@
 	p := &n.plans[c.plan]
 	rate, depth := n.refill(c)
 	c.grant = 1
-	if want := c.wanted.rate(n.now, demandFade); rate > 0 && want > 0 {
-		c.grant = min(1, max(leastGrant, askOver*(rate+max(0, c.level)/secs(interval))/want))
+	if want := c.wanted.rate(n.now, demandFade); want > 0 {
+		take := n.set.Num("peers.take")
+		others := n.heard.rate(n.now, demandFade) - c.wanted.n/secs(demandFade)
+		c.grant = min(1, max(askLeast*take, askMost*take-others)*c.size/want)
+		if rate > 0 {
+			c.grant = min(c.grant, askOver*(rate+max(0, c.level)/secs(interval))/want)
+		}
+		c.grant = max(leastGrant, c.grant)
 	}
 	least := reserve
 	if !c.free {
 		least = (1 + reserve) / 2
 	}
 	was := c.free
-	c.free = p.open == 0 && p.ceilingRate <= 0 && p.ceilingDepth <= 0 && (rate <= 0 || c.level >= least*depth)
+	c.free = p.open == 0 && p.ceilingRate <= 0 && p.ceilingDepth <= 0 && (rate <= 0 || c.level >= least*depth) &&
+		c.wanted.rate(n.now, demandFade) > oftenIs*float64(c.spread)
 	for k := range c.spread {
 		if peer := (c.first + k) % n.nodes; was && !c.free && peer != n.me {
 			n.say(c, peer, 0, unheard)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -123,7 +123,7 @@
 	if len(again) != 1 || again[0].Server == first[0].Server {
 		t.Fatalf("sent again to %v after %v", again, first)
 	}
-	if !n.suspect(&n.servers[first[0].Server].by[0]) {
+	if !n.suspect(0, &n.servers[first[0].Server].by[0]) {
 		t.Fatal("the silent server is in good standing")
 	}
 }
@@ -195,7 +195,7 @@
 	bad := pull(n, Send)[0].Server
 	n.Ended(Result{Ticket: 1, Server: bad, Outcome: Failed, Took: 100})
 	at := n.serverOf.find(bad)
-	if s := n.servers[at].by; !n.suspect(&s[1]) || n.suspect(&s[0]) {
+	if s := n.servers[at].by; !n.suspect(1, &s[1]) || n.suspect(0, &s[0]) {
 		t.Fatal("the wrong band rests")
 	}
 	n.Clock(Second + interval/2)
@@ -203,11 +203,11 @@
 	other := plain(2, Settings{"nodes": "40", "node": "3", "peers": "true", "band.count": "2", "band.1.contract": "6000"})
 	other.Clock(Second + interval/2)
 	other.Heard(0, append(slices.Clone(told[0].Text), 0x80)) // cut short: passed over whole
-	if other.suspect(&other.servers[at].by[1]) {
+	if other.suspect(1, &other.servers[at].by[1]) {
 		t.Fatal("malformed message counted")
 	}
 	other.Heard(0, told[0].Text)
-	if s := other.servers[at].by; told[0].Peer != Everyone || !other.suspect(&s[1]) || other.suspect(&s[0]) {
+	if s := other.servers[at].by; told[0].Peer != Everyone || !other.suspect(1, &s[1]) || other.suspect(0, &s[0]) {
 		t.Fatal("the peer did not take in the doubt")
 	}
 }
@@ -342,7 +342,7 @@
 		n.Take(Arrival{ID: uint32(id), Left: 2 * Second, Units: 1, Spread: 1})
 		d := pull(n, Send)[0]
 		n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Outcome: o, Took: 500, Settled: o == OK})
-		if got := n.suspect(&n.servers[0].by[0]); got != (id == 5) || n.suspect(&n.servers[0].by[1]) || n.ended > 2 {
+		if got := n.suspect(0, &n.servers[0].by[0]); got != (id == 5) || n.suspect(1, &n.servers[0].by[1]) || n.ended > 2 {
 			t.Fatalf("after end %d the server rests: %v", id, got)
 		}
 		if o != OK && pull(n, Bounce) == nil {
--- a/rules/types.go
+++ b/rules/types.go
@@ -341,6 +341,7 @@
 	grantAt     Time    // when that was told
 	owed        float64 // elsewhere: units asked that its home has not answered for
 	free        bool    // its tickets pass and are told of afterwards, as told by its home, or at its home
+	size        float64 // at its home: units of its tickets of late
 	holds       []Time  // at its home: when each execution that it let out counts as ended, the first first
 	homeCeiling float64 // at its home: the part of the ceiling kept there,
 	homeAt      Time    // and when it was filled
@@ -387,26 +388,29 @@
 	drops []Decision // executions to call back
 	text  []byte
 
-	born    Time
-	ready   int      // app servers listed as ready
-	sends   faded    // executions sent
-	reach   float64  // ready servers for each that this node uses
-	order   []uint64 // room for choose
-	inWork  int      // tickets with an execution out
-	extra   float64  // further executions left in the budget
-	beatAt  Time
-	wakeFor Time
-	tellAt  Time
-	wide    bool     // more nodes than can all hear each other
-	news    []int32  // customers to tell peers of
-	deaf    []Time   // until when each peer counts as one that does not answer
-	wait    Time     // that a ticket waits for a home's answer
-	doubtAt Time     // next message of doubts
-	mail    []letter // messages that wait for Next
-	heardAt Time     // last message of any peer
-	watchAt Time     // when to ask for the roster; 0: never
-	watches bool
-	missed  float64 // calls to discovery that failed in a row
+	born      Time
+	ready     int      // app servers listed as ready
+	sends     faded    // executions sent
+	reach     float64  // ready servers for each that this node uses
+	order     []uint64 // room for choose
+	inWork    int      // tickets with an execution out
+	extra     float64  // further executions left in the budget
+	beatAt    Time
+	stall     Time // how long this node last had no turn though it had asked for one,
+	stalledAt Time // and until when
+	waited    int  // tickets that came meanwhile, not looked at yet
+	wakeFor   Time
+	tellAt    Time
+	wide      bool     // more nodes than can all hear each other
+	news      []int32  // customers to tell peers of
+	wait      Time     // that a ticket waits for a home's answer
+	doubtAt   Time     // next message of doubts
+	mail      []letter // messages that wait for Next
+	heardAt   Time     // last message of any peer
+	heard     faded    // messages of peers
+	watchAt   Time     // when to ask for the roster; 0: never
+	watches   bool
+	missed    float64 // calls to discovery that failed in a row
 
 	// The limit.
 	intervalAt Time
@@ -562,7 +566,12 @@
 }
 
 // Clock sets the time.
-func (n *Node) Clock(now Time) { n.now = now }
+func (n *Node) Clock(now Time) {
+	if gap := now - n.now; gap > n.contract/4 && n.wakeFor > 0 {
+		n.stall, n.stalledAt = gap, now
+	}
+	n.now = now
+}
 
 func (s *appServer) usable() bool { return s.known && s.State == Ready }
 
@@ -575,7 +584,7 @@
 			n.customers = append(n.customers, customer{})
 		}
 		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, homeAt: n.now, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1}
+			ceilingAt: n.now, homeAt: n.now, size: 1, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1}
 	}
 	c := &n.customers[i]
 	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
