--- a/rules/rules.go
+++ b/rules/rules.go
@@ -177,7 +177,7 @@
 	if n.now == n.stalledAt {
 		n.waited++
 	}
-	n.use(false, t.customer, a.Units, 0, 0)
+	n.use(false, t.customer, a.Units, 0)
 	n.push(i)
 }
 
@@ -229,7 +229,7 @@
 			if !n.homed(c) || n.home(c) == n.me {
 				c.level -= (r.Units - t.guess) / t.share
 			}
-			n.use(true, t.customer, 0, r.Units-t.guess, 0)
+			n.use(true, t.customer, 0, r.Units-t.guess)
 		}
 	}
 	if r.Settled {
@@ -340,14 +340,16 @@
 			c.last = n.now
 			c.level -= t.passed
 			c.wanted.add(t.figure, n.now, demandFade)
-			c.holds = c.holds[min(t.ended, len(c.holds)):]
+			if t.ended > 0 {
+				c.holds = slices.DeleteFunc(c.holds, func(h hold) bool { return h.node == from && h.ticket == t.ref })
+			}
 			if n.regrant(c); t.figure > 0 && !c.free { // it took it for free
 				n.say(c, from, 0, unheard)
 			}
 		case m.mark == askMark && n.wide && n.home(c) == n.me:
 			c.last = n.now
 			said := denied
-			if n.allow(c, t.figure, t.passed, min(t.ended, len(n.bands)-1)) {
+			if n.allow(c, t, from) {
 				said = granted
 			}
 			n.say(c, from, t.ref, said)
@@ -367,12 +369,12 @@
 
 // use notes what is to be told of a customer's use: what was asked, to all, or, where not all nodes can
 // hear all (wide), what was passed on without asking and what has ended, to its home.
-func (n *Node) use(wide bool, i int32, asked, passed float64, ended int) {
+func (n *Node) use(wide bool, i int32, asked, passed float64) {
 	c := &n.customers[i]
 	if wide != n.wide || c.spread <= 1 || !n.set.Is("peers") || n.wide && n.home(c) == n.me {
 		return
 	}
-	c.toldAsked, c.toldPassed, c.toldEnded = c.toldAsked+asked, c.toldPassed+passed, c.toldEnded+ended
+	c.toldAsked, c.toldPassed = c.toldAsked+asked, c.toldPassed+passed
 	if !c.news {
 		c.news = true
 		n.news = append(n.news, i)
@@ -574,7 +576,11 @@
 		if n.stalledAt == n.now { // nothing passed meanwhile
 			burst = max(burst, secs(n.stall))
 		}
-		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), n.lambda*burst+1)
+		most := n.lambda*burst + 1
+		if n.wide {
+			most += swing * math.Sqrt(n.lambda)
+		}
+		n.tokens = min(n.tokens+n.lambda*secs(n.now-n.tokensAt), most)
 		n.tokensAt = n.now
 		if n.tokens < 1 {
 			return byLambda
@@ -616,7 +622,11 @@
 	if n.quiet {
 		least *= openQuiet + openNodes*math.Sqrt(float64(n.nodes))
 	}
-	return max(least, openOver*n.canFinish(Time(max(n.scale, lowShare*float64(n.contract)))))
+	most := openOver * n.canFinish(Time(max(n.scale, lowShare*float64(n.contract))))
+	if n.wide {
+		most += swing * math.Sqrt(most)
+	}
+	return max(least, most)
 }
 
 // pressing is what is out at servers in good standing: the in-flight that tells of the back end's queue.
@@ -649,7 +659,7 @@
 	if !n.homed(c) {
 		c.level = max(c.level, 0) - t.guess/t.share
 	} else if t.asked == 0 {
-		n.use(true, t.customer, t.guess, t.guess, 0)
+		n.use(true, t.customer, t.guess, t.guess)
 	}
 	if t.verdict != granted {
 		c.ceiling -= t.guess
@@ -698,7 +708,7 @@
 func (n *Node) byHome(c *customer, t *ticket) bool {
 	home := n.home(c)
 	if home == n.me {
-		if n.allow(c, t.guess, t.guess, t.band) {
+		if n.allow(c, told{figure: t.guess, passed: t.guess, ref: t.id, band: t.band}, n.me) {
 			t.verdict = granted
 		}
 		return t.verdict == granted
@@ -715,7 +725,7 @@
 			t.asked -= n.wait
 		}
 		n.mail = append(n.mail, letter{home, appendTold([]byte{askMark}, told{key: c.key, passed: t.guess,
-			figure: c.owed, plan: c.plan, spread: c.spread, first: c.first, ref: t.id, ended: t.band})})
+			figure: c.owed, plan: c.plan, spread: c.spread, first: c.first, ref: t.id, band: t.band})})
 		c.owed = 0
 	}
 	if t.verdict != unheard || n.waits(t) {
@@ -732,14 +742,12 @@
 }
 
 // allow lets a ticket pass at its customer's home, and books it, if bucket, cap and ceiling have room.
-func (n *Node) allow(c *customer, asked, units float64, band int) bool {
-	p := &n.plans[c.plan]
-	c.wanted.add(asked, n.now, demandFade)
+func (n *Node) allow(c *customer, a told, from int) bool {
+	p, units := &n.plans[c.plan], a.passed
+	c.wanted.add(a.figure, n.now, demandFade)
 	c.size += fade * (units - c.size)
 	rate, depth := n.refill(c)
-	for len(c.holds) > 0 && c.holds[0] <= n.now {
-		c.holds = c.holds[1:]
-	}
+	c.holds = slices.DeleteFunc(c.holds, func(h hold) bool { return h.until <= n.now })
 	ceiling := p.ceilingRate > 0 || p.ceilingDepth > 0
 	c.homeCeiling = min(c.homeCeiling+homePart*p.ceilingRate*secs(n.now-c.homeAt), homePart*p.ceilingDepth)
 	c.homeAt = n.now
@@ -749,7 +757,8 @@
 		c.level -= units
 		c.homeCeiling -= units
 		if p.open > 0 {
-			c.holds = append(c.holds, n.now+Time(holdFor*n.usualOf(&n.bands[band])))
+			b := &n.bands[min(a.band, len(n.bands)-1)]
+			c.holds = append(c.holds, hold{from, a.ref, n.now + Time(holdFor*n.usualOf(b))})
 		}
 	}
 	n.regrant(c)
@@ -798,9 +807,11 @@
 		return
 	}
 	if n.home(c) == n.me {
-		c.holds = c.holds[min(1, len(c.holds)):]
+		c.holds = slices.DeleteFunc(c.holds, func(h hold) bool { return h.node == n.me && h.ticket == t.id })
+	} else {
+		n.mail = append(n.mail, letter{n.home(c), appendTold([]byte{useMark}, told{key: c.key, plan: c.plan,
+			spread: c.spread, first: c.first, ref: t.id, ended: 1})})
 	}
-	n.use(true, t.customer, 0, 0, 1)
 }
 
 // report writes the letters to peers: what was asked here, of customers with a rate past half their even
@@ -830,8 +841,8 @@
 		}
 		m := &n.mail[len(n.mail)-1]
 		m.text = appendTold(m.text, told{key: c.key, figure: c.toldAsked, passed: c.toldPassed, plan: c.plan,
-			spread: c.spread, first: c.first, ended: c.toldEnded})
-		c.toldAsked, c.toldPassed, c.toldEnded = 0, 0, 0
+			spread: c.spread, first: c.first})
+		c.toldAsked, c.toldPassed = 0, 0
 	}
 	n.news = keep
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -342,13 +342,19 @@
 	owed        float64 // elsewhere: units asked that its home has not answered for
 	free        bool    // its tickets pass and are told of afterwards, as told by its home, or at its home
 	size        float64 // at its home: units of its tickets of late
-	holds       []Time  // at its home: when each execution that it let out counts as ended, the first first
+	holds       []hold  // at its home: what it let out
 	homeCeiling float64 // at its home: the part of the ceiling kept there,
 	homeAt      Time    // and when it was filled
 	news        bool    // waits for the next message
-	toldAsked   float64 // elsewhere: units asked and passed, and executions ended, that its home does not know of
+	toldAsked   float64 // elsewhere: units asked and passed that its home does not know of
 	toldPassed  float64
-	toldEnded   int
+}
+
+// hold is a ticket that a customer's home let out, and when it counts as ended in any case.
+type hold struct {
+	node   int
+	ticket uint32
+	until  Time
 }
 
 // letter is a message that waits to be sent.
@@ -489,7 +495,8 @@
 	figure, passed      float64
 	plan, spread, first int
 	ref                 uint32  // asks and answers: the ticket
-	ended               int     // use: executions that ended
+	band                int     // asks
+	ended               int     // use: 1 where the ticket has ended
 	verdict             verdict // answers
 	free                bool    // answers
 }
@@ -517,6 +524,7 @@
 	b = binary.AppendUvarint(b, uint64(t.spread))
 	b = binary.AppendUvarint(b, uint64(t.first))
 	b = binary.AppendUvarint(b, uint64(t.ref))
+	b = binary.AppendUvarint(b, uint64(t.band))
 	b = binary.AppendUvarint(b, uint64(t.ended))
 	said := uint64(t.verdict) << 1
 	if t.free {
@@ -556,7 +564,7 @@
 		v := number(2*mostTold + 1) // zigzag, as AppendVarint writes it
 		t.passed = float64(int64(v>>1)^-int64(v&1)) / 100
 		t.plan, t.spread, t.first = int(number(mostTold)), int(number(mostTold)), int(number(mostTold))
-		t.ref, t.ended = uint32(number(mostTold)), int(number(mostTold))
+		t.ref, t.band, t.ended = uint32(number(mostTold)), int(number(mostTold)), int(number(mostTold))
 		said := number(uint64(denied)<<1 | 1)
 		t.verdict, t.free = verdict(said>>1), said&1 == 1
 		ok = ok && t.plan < plans && t.spread >= 1 && t.spread <= nodes && t.first < nodes
