--- a/rules/rules.go
+++ b/rules/rules.go
@@ -67,8 +67,8 @@
 	missesMost  = 2             // errors or time-outs in a row before suspicion
 	shutMost    = 8             // longest suspicion, in contract times
 	illFade     = 10 * interval // memory of what peers suspect,
-	illLeast    = 3.0           // of which so many words count,
-	illOver     = 1.4           // where they are so many times as for a server on average
+	illLeast    = 1.0           // of which so many words more than a server has on average count,
+	illOver     = 2.0           // and so many roots of those on top
 	trialEach   = 0.05          // trials at rested servers earned by an execution of the band
 	silentAfter = 10.0          // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.4           // of the cold budget that is used at once, and as much again over a span
@@ -290,10 +290,11 @@
 		ill := &n.bands[d.band].ill
 		at.ill.add(1, n.now, illFade)
 		ill.add(1, n.now, illFade)
+		mean := ill.n / float64(max(1, n.ready))
 		if at.misses > 0 && !at.told && n.now < at.until || n.now-at.heard < n.contract && at.heard > 0 {
 			continue
 		}
-		if d.rest > 0 || at.ill.n >= illLeast && at.ill.n*float64(n.ready) > illOver*ill.n {
+		if d.rest > 0 || at.ill.n >= illLeast+mean+illOver*math.Sqrt(mean) {
 			at.misses, at.told = max(at.misses, 1), true
 			at.until = max(at.until, n.now+min(max(d.rest, n.contract), shutMost*n.contract))
 		}
@@ -425,9 +426,9 @@
 		n.report()
 	}
 	if n.now >= n.doubtAt && n.set.Is("peers") && n.nodes > 1 {
-		n.doubtAt = n.now + max(tellEvery, Time(float64(interval)*float64(n.nodes)/
-			max(0.01, tellShare/2*n.set.Num("peers.take"))))
-		if text := n.doubts(); len(text) > 1 {
+		n.doubtAt = n.now + interval
+		text, often := n.doubts(), tellShare*n.set.Num("peers.take")/float64(n.nodes)
+		if len(text) > 1 && n.chance.unit() < often {
 			return Decision{Verb: Tell, Text: text, Peer: Everyone}, true
 		}
 	}
