--- a/rules/rules.go
+++ b/rules/rules.go
@@ -56,7 +56,7 @@
 	askOver    = 1.5  // tickets asked for, of each that the bucket has room for
 	holdFor    = 3.0  // usual latencies that an execution counts as out at a home, unless its end is told
 	leastGrant = 0.01 // of a customer's tickets
-	reserve    = 0.5  // of a store, kept for what passes until word gets round
+	reserve    = 0.7  // of a store, kept for what passes until word gets round
 	homePart   = 0.7  // of a ceiling, kept by the home; the rest is for when that can't be asked
 	wideAt     = 0.75 // of what a peer takes in, when all tell all: past it not all can hear all
 	heardLeast = 0.1  // of a faded count of messages
@@ -255,7 +255,7 @@
 	at.lost, at.trying = min(at.lost, at.open), false
 	switch o {
 	case OK:
-		*at = standing{open: at.open, heard: n.now, lost: at.lost, owed: at.owed}
+		*at = standing{open: at.open, heard: n.now, lost: at.lost, owed: at.owed, ill: at.ill}
 		s.pace.add(float64(took)/n.usualOf(b), n.now, paceFade)
 	case Failed: // rare where all is well, so that one tells enough
 		at.heard = n.now
@@ -290,11 +290,10 @@
 		ill := &n.bands[d.band].ill
 		at.ill.add(1, n.now, illFade)
 		ill.add(1, n.now, illFade)
-		mean := ill.n / float64(max(1, n.ready))
 		if at.misses > 0 && !at.told && n.now < at.until || n.now-at.heard < n.contract && at.heard > 0 {
 			continue
 		}
-		if d.rest > 0 || at.ill.n >= illLeast+mean+illOver*math.Sqrt(mean) {
+		if d.rest > 0 || n.ill(d.band, at) {
 			at.misses, at.told = max(at.misses, 1), true
 			at.until = max(at.until, n.now+min(max(d.rest, n.contract), shutMost*n.contract))
 		}
@@ -505,7 +504,7 @@
 	b.trials = min(b.trials+trialEach, 2)
 	if n.now < at.until || at.misses > 0 {
 		at.trying = true
-		if at.shut > 0 || at.told {
+		if at.shut > n.contract || at.told {
 			b.trials = max(0, b.trials-1)
 		}
 	}
@@ -1021,7 +1020,20 @@
 
 // suspect tells whether a server is out of the rotation; past its rest it gets one trial at a time.
 func (n *Node) suspect(band int, at *standing) bool {
-	return n.now < at.until || at.trying || (at.shut > 0 || at.told) && n.bands[band].trials < 1
+	return n.now < at.until || at.trying || n.bands[band].trials < 1 && (at.shut > n.contract || at.told)
+}
+
+// ill tells whether peers told of clearly more misses of a server in a band than of one on average: what a whole
+// fleet misses for want of room falls on all alike. Such a server gets trials by the band's budget only.
+func (n *Node) ill(band int, at *standing) bool {
+	if at.ill.n == 0 {
+		return false
+	}
+	all := &n.bands[band].ill
+	at.ill.fadeTo(n.now, illFade)
+	all.fadeTo(n.now, illFade)
+	mean := all.n / float64(max(1, n.ready))
+	return at.ill.n >= illLeast+mean+illOver*math.Sqrt(mean)
 }
 
 // coldShare is the least share of its capacity that a fresh server has by now.
