A node uses as many servers as it meets 60 times while a connection may idle, four at least

Cause: each node knows only its own executions out at a server; with 24 servers and 8 tickets a second that told nothing of the queue, and servers filled by chance (overload, first 5 s with no trouble: median latency 265 ms, 13% late). With few servers a node its own count tells more.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -73,8 +73,8 @@
 	silentAfter = 10.0          // usual latencies that all out at a server waited, with no answer
 	coldMargin  = 0.4           // of the cold budget that is used at once, and as much again over a span
 
-	meets     = 8.0 // times that a node meets a server while a connection there may stand idle
-	leastUsed = 6.0 // servers that a node uses at least
+	meets     = 60.0 // times that a node meets a server while a connection there may stand idle
+	leastUsed = 4.0 // servers that a node uses at least
 	dealt     = 8   // nodes that share a shuffle of the servers
 
 	extraEach = 0.2  // further executions earned by a first one
