--- a/rules/rules.go
+++ b/rules/rules.go
@@ -954,7 +954,7 @@
 			}
 			s.turn += s.weight
 			sum += s.weight
-			if best < 0 || s.turn > n.servers[best].turn {
+			if best < 0 || n.before(s, &n.servers[best], level) {
 				best = int32(i)
 			}
 		}
@@ -969,6 +969,14 @@
 	return -1
 }
 
+// before tells whether a server is to be taken before another.
+func (n *Node) before(a, b *appServer, level int) bool {
+	if x, y := float64(a.open)*b.weight, float64(b.open)*a.weight; n.wide && level == 0 && x != y {
+		return x < y
+	}
+	return a.turn > b.turn
+}
+
 // choose sets which servers this node uses while they can take its tickets: as many as it meets several times
 // before an idle connection there is closed. Eight nodes at a time share a shuffle of the servers, by a hash,
 // and begin at even places of it, so that all servers get about alike. It guards against many nodes that
