--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,7 +23,7 @@
 // Tuned values, as ratios to settings or to what was seen.
 const (
 	interval   = Second // of the limit, as the design says
-	swing      = 1.0    // roots of an even share on top of it
+	swing      = 0.3    // roots of an even share on top of it
 	fresh      = 3.0    // executions a ready server by all nodes, this node's even share while fresh
 	openOver   = 1.5    // a back end's own time T over which what is out may take to complete
 	openQuiet  = 1.4    // times the least allowance while latency is quiet, and
@@ -74,8 +74,8 @@
 	coldMargin  = 0.4           // of the cold budget that is used at once, and as much again over a span
 
 	meets     = 60.0 // times that a node meets a server while a connection there may stand idle
-	leastUsed = 4.0 // servers that a node uses at least
-	dealt     = 8   // nodes that share a shuffle of the servers
+	leastUsed = 4.0  // servers that a node uses at least
+	dealt     = 8    // nodes that share a shuffle of the servers
 
 	extraEach = 0.2  // further executions earned by a first one
 	spareAt   = 0.33 // of the contract time, when a spare is due
