Settings of a deployment's shape in the operator file, and a watch that counts where they decide otherwise

The operator file's [settings] is written over the platform's for all that the module reads, checked by config check; nothing given changes nothing (test). [watch] compares each decision, and each answer of a home to an ask, with what other settings would have decided from the same state and chance; stores under the watched settings are charged for what really passed.

--- a/cmd/cherrygap/cli.go
+++ b/cmd/cherrygap/cli.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(logLevel(op.Log.Level))
+			return serve(op)
 		},
 	}
 	root.PersistentFlags().StringVar(&opFile, "operator", os.Getenv("GW_OPERATOR"),
--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/settings"
 	"cherrygap/internal/transport"
@@ -37,7 +38,8 @@
 	seed  uint64
 	known protocol.List
 	set   map[string]string
-	level zerolog.Level // from the operator file; the zero value is debug, so serve sets it
+	watch map[string]string // settings to watch, from the operator file; nil for none
+	level zerolog.Level     // from the operator file; the zero value is debug, so serve sets it
 }
 
 // readConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY hold over it.
@@ -92,6 +94,21 @@
 	return c, nil
 }
 
+// take writes the operator file's settings over the platform's, and sets what is watched. Without any given it
+// changes nothing but the level of the log.
+func (c *config) take(op operator.File) (err error) {
+	c.level = logLevel(op.Log.Level)
+	if c.set, err = op.Settings.Over(c.set); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if op.Watch.On {
+		if c.watch, err = op.Watch.Settings.Over(c.set); err != nil {
+			return fmt.Errorf("watch.settings: %w", err)
+		}
+	}
+	return nil
+}
+
 // reload reads the file again, whole, and carries out what may change while the node runs: discovery's address.
 // A file that can't be read, or is no good anywhere, changes nothing.
 func (c *config) reload(move func(addr string)) (*config, error) {
@@ -105,6 +122,7 @@
 		}
 		move(next.named) // over GW_DISCOVERY too, which is of the start
 	}
+	next.set, next.watch, next.level = c.set, c.watch, c.level // what the node runs by until it restarts
 	return next, nil
 }
 
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -6,16 +6,19 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/routing"
 	"cherrygap/internal/transport"
@@ -38,12 +41,14 @@
 }
 
 // serve reads the platform's configuration and runs the node until it has drained.
-func serve(level zerolog.Level) error {
+func serve(op operator.File) error {
 	c, err := readConfig()
 	if err != nil {
 		return err
 	}
-	c.level = level
+	if err := c.take(op); err != nil {
+		return err
+	}
 	return run(c)
 }
 
@@ -68,7 +73,7 @@
 		return err
 	}
 	defer alarm.Close()
-	cfg := routing.Config{Seed: c.seed, Settings: c.set, Wake: alarm.Set,
+	cfg := routing.Config{Seed: c.seed, Settings: c.set, Compare: c.watch, Wake: alarm.Set,
 		Tell: func(int, []byte) { count.ToldFailed.Add(1) },
 		Watch: func() {
 			select {
@@ -87,6 +92,13 @@
 		cfg.Tell, hear = mail.Tell, mail.Hear
 	}
 	router := routing.New(cfg)
+	counters := func(message string) {
+		e := log.Info().Object("counters", count)
+		if c.watch != nil {
+			e = e.Object("watch", watched{router})
+		}
+		e.Msg(message)
+	}
 	pool := transport.NewPool(limits, &log, count)
 	known := len(c.known.Targets) > 0
 	if known {
@@ -111,7 +123,7 @@
 	log.Info().Str("listen", c.Listen).Msg("started")
 	for s := range signals {
 		if s == syscall.SIGUSR1 {
-			log.Info().Object("counters", count).Msg("counters")
+			counters("counters")
 			continue
 		}
 		if s != syscall.SIGHUP {
@@ -124,6 +136,17 @@
 		}
 	}
 	front.Drain(acceptFor)
-	log.Info().Object("counters", count).Msg("stopped")
+	counters("stopped")
 	return nil
 }
+
+// watched writes what the watch counted: decisions compared, and those that would have been others, by kind.
+type watched struct{ r *routing.Router }
+
+func (w watched) MarshalZerologObject(e *zerolog.Event) {
+	seen, differs := w.r.Watched()
+	e.Int64("decisions", seen)
+	for _, kind := range slices.Sorted(maps.Keys(differs)) {
+		e.Int64(kind, differs[kind])
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,8 +18,10 @@
 
 // File is the whole operator file. The zero value is not valid; start from Default.
 type File struct {
-	Log Log `toml:"log"`
-	Lab Lab `toml:"lab"`
+	Log      Log   `toml:"log"`
+	Settings Shape `toml:"settings"` // over the platform's settings
+	Watch    Watch `toml:"watch"`
+	Lab      Lab   `toml:"lab"`
 }
 
 // Log is how the program writes its structured log (zerolog, one JSON object a line on standard error).
@@ -186,6 +188,8 @@
 	default:
 		bad("log.level", "%q is none of debug, info, warn, error", f.Log.Level)
 	}
+	f.Settings.check("settings", bad)
+	f.Watch.Settings.check("watch.settings", bad)
 	e := &f.Lab.Emulator
 	loopback("lab.emulator.listen", e.Listen, bad)
 	within("lab.emulator.servers", float64(e.Servers), 1, 512)
--- /dev/null
+++ b/internal/operator/shape_test.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"maps"
+	"strings"
+	"testing"
+)
+
+var platform = map[string]string{"band.count": "2", "band.0.name": "next-leg", "band.1.name": "stop-update",
+	"band.1.repeats": "single-use", "plan.count": "1", "plan.0.name": "pro", "plan.0.rate": "12", "executions": "4",
+	"peers": "true"}
+
+// Nothing given leaves the platform's settings as they are; what is given is written in the module's units.
+func TestShapeIsWrittenOverThePlatforms(t *testing.T) {
+	d := Default()
+	if set, err := d.Settings.Over(platform); err != nil || !maps.Equal(set, platform) || d.Watch.On {
+		t.Fatalf("the defaults change %v to %v, %v", platform, set, err)
+	}
+	f, faults := Parse("[settings]\nexecutions = 3\npeers = false\ncold_ms = 1500.5\n[[settings.band]]\nname = \"stop-update\"\n" +
+		"repeats = \"referenced\"\ngroup = \"cell\"\nwindow_ms = 3000\n[[settings.plan]]\nname = \"pro\"\nopen = 2\n" +
+		"ceiling_rate = 25.5\n[watch]\non = true\n[watch.settings]\nadvice = true\n")
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	want := maps.Clone(platform)
+	maps.Copy(want, map[string]string{"executions": "3", "peers": "false", "cold.span": "15005", "band.1.repeats": "referenced",
+		"band.1.group": "cell", "band.1.window": "30000", "plan.0.open": "2", "plan.0.ceiling.rate": "25.5"})
+	if set, err := f.Settings.Over(platform); err != nil || !maps.Equal(set, want) || !f.Watch.On {
+		t.Errorf("%v, want %v: %v", set, want, err)
+	}
+	if platform["executions"] != "4" {
+		t.Error("the platform's own settings were written to")
+	}
+}
+
+// A bad value is told with its key and what would do; an unknown band or plan with those there are.
+func TestBadShapeNamesWhatWouldDo(t *testing.T) {
+	for text, want := range map[string]string{
+		"[settings]\nexecutions = 0\n":                                            "line 2: settings.executions: 0 is out of range 1 to 100",
+		"[watch.settings]\ncold_from = 1.5\n":                                     "line 2: watch.settings.cold_from: 1.5 is out of range",
+		"[settings]\nexecution = 3\n":                                             "line 2: settings.execution: no such key",
+		"[[settings.band]]\nname = \"a\"\ngroup = \"hall\"\n":                     "settings.band.0.group: \"hall\" is none of all, zone, cell",
+		"[[settings.band]]\nname = \"a\"\nrepeats = \"twice\"\n":                  "is none of replayable, referenced, single-use",
+		"[[settings.plan]]\nrate = 1.0\n":                                         "settings.plan.0.name: is empty",
+		"[[settings.plan]]\nname = \"a\"\n[[settings.plan]]\nname = \"a\"\n":      "settings.plan.1.name: \"a\" is given twice",
+		"[[settings.plan]]\nname = \"a\"\nceiling_rate = -1.0\n":                  "settings.plan.0.ceiling_rate: -1 is out of range",
+		"[[settings.plan]]\nname = \"a\"\nrate = nan\n":                           "settings.plan.0.rate: NaN is out of range",
+		"[[watch.settings.band]]\nname = \"a\"\nwindow_ms = 1e9\n":                "watch.settings.band.0.window_ms",
+		"[[watch.settings.band]]\nname = \"a\"\n[[watch.settings.plan]]\nx = 1\n": "no such key",
+	} {
+		_, faults := Parse(text)
+		got := ""
+		for _, f := range faults {
+			got += f.String() + "\n"
+		}
+		if !strings.Contains(got, want) {
+			t.Errorf("%q: %q lacks %q", text, got, want)
+		}
+	}
+	s := Shape{Bands: []Kind{{Name: "dock"}, {Name: "stop-update"}}, Plans: []Plan{{Name: "gold"}}}
+	word := "all"
+	s.Bands[0].Group = &word
+	if set, err := s.Over(platform); set != nil || err == nil || !strings.Contains(err.Error(), "next-leg, stop-update") {
+		t.Errorf("%v, %v", set, err)
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -19,6 +19,10 @@
 	Seed     uint64
 	Settings map[string]string
 
+	// Compare are other settings, with the same bands and plans, that the module's decisions are compared with; nil
+	// for none. They decide nothing: see Watched.
+	Compare map[string]string
+
 	Wake func(after time.Duration) // sets the one timer, which is to call Tick; it must not call the Router
 
 	// Clock gives the time; nil for the system's. The lab's fleet model passes a virtual one, so that the
@@ -71,6 +75,9 @@
 	set := rules.Settings(cfg.Settings)
 	r.nodes, r.largest = max(1, int(set.Num("nodes"))), set.Num("largest")
 	r.node = rules.New(cfg.Seed, cfg.Settings, r.base)
+	if cfg.Compare != nil {
+		r.node.Watch(cfg.Compare)
+	}
 	return r
 }
 
@@ -146,6 +153,14 @@
 	}
 }
 
+// Watched is how many decisions on tickets were compared with Config.Compare, and how many those settings would have
+// taken otherwise, by kind; 0 and nil while none are watched.
+func (r *Router) Watched() (int64, map[string]int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Watched()
+}
+
 // Tick lets the module look at the time.
 func (r *Router) Tick() {
 	r.enter()
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -217,3 +218,44 @@
 		t.Errorf("%d of %d rooms given back", len(r.free), len(r.tickets))
 	}
 }
+
+// With other settings watched, clients get the same answers, and what would have been otherwise is counted.
+func TestWatchedSettingsChangeNoAnswer(t *testing.T) {
+	play := func(compare map[string]string) (answers []Choice, r *Router) {
+		now := time.Unix(1000, 0)
+		r = New(Config{Seed: 7, Settings: settingsOf("replayable"), Compare: compare, Clock: func() time.Time { return now },
+			Wake: func(time.Duration) {}, Tell: func(int, []byte) {}, Watch: func() {}, Note: func([]byte) {}})
+		r.Listed(listOf(4, protocol.InService), true)
+		ticket := r.NewTicket(&hand{})
+		for k := range 60 {
+			now = now.Add(20 * time.Millisecond)
+			ticket.Take(&request, 2*time.Second)
+			for c := ticket.Pick(); ; c = ticket.Pick() {
+				if answers = append(answers, Choice{Do: c.Do, Nth: c.Nth, Wait: c.Wait, Advice: c.Advice}); c.Do != Execute {
+					break
+				}
+				if k%5 == 0 && c.Nth == 0 {
+					ticket.Report(End{Outcome: protocol.Errored, Took: time.Millisecond})
+					continue
+				}
+				ticket.Report(End{Outcome: protocol.Completed, Took: time.Millisecond})
+				break
+			}
+		}
+		return answers, r
+	}
+	want, r := play(nil)
+	if seen, differs := r.Watched(); seen != 0 || differs != nil {
+		t.Error("counted with nothing watched")
+	}
+	other := settingsOf("single-use")
+	got, r := play(other)
+	if seen, differs := r.Watched(); !slices.Equal(got, want) || seen < 60 || differs["send_would_break_off"] < 10 {
+		t.Errorf("%d answers of %d the same; of %d decisions %v", len(got), len(want), seen, differs)
+	}
+	if got, r = play(settingsOf("replayable")); !slices.Equal(got, want) {
+		t.Error("equal settings changed an answer")
+	} else if _, differs := r.Watched(); len(differs) > 0 {
+		t.Errorf("equal settings differ: %v", differs)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -100,23 +100,29 @@
 
 // New makes a node that knows its settings only.
 func New(seed uint64, set Settings, now Time) *Node {
-	n := &Node{set: set, now: now, began: now, born: now, reach: 1, intervalAt: now + interval,
+	n := &Node{now: now, began: now, born: now, reach: 1, intervalAt: now + interval,
 		tellAt: now + tellEvery, beatAt: now, lastLat: lowShare, doubtAt: now + tellEvery, tokensAt: now,
 		quiet:    true,
 		heardAt:  now - silence,
 		serverOf: newIndex[uint32](), ticketOf: newIndex[uint32](), customer: newIndex[uint64]()}
+	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
+	n.read(set)
+	if set["roster"] == "ask" {
+		n.watchAt = now
+	}
+	return n
+}
+
+// read takes in the settings.
+func (n *Node) read(set Settings) {
+	n.set = set
 	n.me, n.nodes = int(set.Num("node")), max(1, int(set.Num("nodes")))
 	n.tick = set.Span("tick")
 	n.coldSpan, n.coldFrom = set.Span("cold.span"), set.Num("cold.from")
 	n.wide = float64(n.nodes-1) > wideAt*set.Num("peers.take")*secs(tellEvery)
-	n.chance = mwc{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
 	n.bands, n.plans = readBands(set), readPlans(set)
 	n.contract = slices.MinFunc(n.bands, func(a, b band) int { return int(a.contract - b.contract) }).contract
 	n.wait = Time(askWait * float64(n.contract))
-	if set["roster"] == "ask" {
-		n.watchAt = now
-	}
-	return n
 }
 
 // Roster takes in a message of the server roster.
@@ -205,6 +211,7 @@
 		if r.Units > 0 { // settled afterwards: the bucket may go below nothing
 			if !n.homed(c) || n.home(c) == n.me {
 				c.level -= (r.Units - t.guess) / t.share
+				n.also(c, (r.Units-t.guess)/t.share, false)
 			}
 			n.use(true, t.customer, 0, r.Units-t.guess)
 		}
@@ -277,20 +284,6 @@
 	}
 }
 
-// doubts names the servers that this node found at fault and that rest; all nodes fill a quarter of each.
-func (n *Node) doubts() []byte {
-	n.text = append(n.text[:0], doubtMark)
-	for i := range n.servers {
-		for k := range n.servers[i].by {
-			if at := &n.servers[i].by[k]; at.misses > 0 && !at.told && (n.wide || n.now < at.until) &&
-				len(n.text)+mostEntry < maxTell {
-				n.text = appendDoubt(n.text, doubted{n.servers[i].Server, k, max(0, at.until-n.now)})
-			}
-		}
-	}
-	return n.text
-}
-
 // rest takes a server out of a band's rotation, each time for twice as long.
 func (n *Node) rest(at *standing) {
 	at.shut = min(max(2*at.shut, n.contract), shutMost*n.contract)
@@ -320,7 +313,7 @@
 		t.queued = false
 		if !t.live {
 			n.ticketOf.drop(t.id)
-		} else if d, ok := n.decide(i); ok {
+		} else if d, ok := n.watched(i); ok {
 			return d, true
 		}
 	}
@@ -356,8 +349,8 @@
 	return Decision{}, false
 }
 
-// afterStall puts what came while this node stood still in order: the last first, since those are in time yet,
-// each with the time that it has waited by its place, as they came over the whole stall.
+// afterStall puts what came while this node stood still in order: the last first, since those are in time
+// yet, each with the time that it has waited by its place, as they came over the whole stall.
 func (n *Node) afterStall() {
 	late := n.todo[max(0, len(n.todo)-n.waited):]
 	for k, i := range late {
@@ -587,11 +580,12 @@
 }
 
 // byHome asks the home of a customer, a node of its set, for each of its tickets; the home keeps the one
-// bucket, what is out for the customer and most of its ceiling, so that the part of the demand that passes here
-// is the design's, ticket by ticket. While the bucket is well filled the home lets tickets pass freely and is told
-// afterwards; where far more is asked than fits, a node asks for a part of the tickets only. It guards against
-// a quota granted by each of many nodes that see too little of a customer for buckets of their own. It
-// could harm while a home is down or stands still: a ticket waits for it, then passes by what was last told.
+// bucket, what is out for the customer and most of its ceiling, so that the part of the demand that passes
+// here is the design's, ticket by ticket. While the bucket is well filled the home lets tickets pass freely
+// and is told afterwards; where far more is asked than fits, a node asks for a part of the tickets only. It
+// guards against a quota granted by each of many nodes that see too little of a customer for buckets of their
+// own. It could harm while a home is down or stands still: a ticket waits for it, then passes by what was
+// last told.
 func (n *Node) byHome(c *customer, t *ticket) bool {
 	home := n.home(c)
 	if home == n.me {
@@ -738,9 +732,9 @@
 	return min(1, (own+belief*slice)/(all+belief))
 }
 
-// ceilingRoom keeps a plan's hard ceiling alone: 1/spread of it, or of what a home does not keep, as a customer
-// comes in through no other nodes than its set. It starts empty, since a node can't tell a restart from a first
-// start; so does a home's part.
+// ceilingRoom keeps a plan's hard ceiling alone: 1/spread of it, or of what a home does not keep, as a
+// customer comes in through no other nodes than its set. It starts empty, since a node can't tell a restart
+// from a first start; so does a home's part.
 func (n *Node) ceilingRoom(c *customer, t *ticket) bool {
 	p := n.plans[c.plan]
 	if p.ceilingRate <= 0 && p.ceilingDepth <= 0 {
@@ -899,8 +893,9 @@
 	return n.now < at.until || at.trying || n.bands[band].trials < 1 && (at.shut > n.contract || at.told)
 }
 
-// ill tells whether peers told of clearly more misses of a server in a band than of one on average: what a whole
-// fleet misses for want of room falls on all alike. Such a server gets trials by the band's budget only.
+// ill tells whether peers told of clearly more misses of a server in a band than of one on average: what a
+// whole fleet misses for want of room falls on all alike. Such a server gets trials by the band's budget
+// only.
 func (n *Node) ill(band int, at *standing) bool {
 	if at.ill.n == 0 {
 		return false
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -360,7 +360,7 @@
 		t.Fatalf("%d units in 8 s of 20 a second, all stores empty at the start", f.sent)
 	}
 	n := f.nodes[11] // all stores full hold the ceiling's and no more
-	c := &n.customers[n.customer.find(5)]
+	c := &n.customers[n.known(5, 0, 40, 10)]
 	n.Clock(99 * Second)
 	n.ceilingRoom(c, &ticket{guess: 1})
 	if all := 40*c.ceiling + homePart*80; all > 80.01 || all < 79.99 {
--- a/rules/types.go
+++ b/rules/types.go
@@ -371,6 +371,7 @@
 
 // Node is one instance of the module: all that this edge node knows.
 type Node struct {
+	watch    *watch // nil: off
 	set      Settings
 	now      Time
 	me       int
@@ -592,7 +593,8 @@
 			n.customers = append(n.customers, customer{})
 		}
 		n.customers[i] = customer{key: key, live: true, plan: plan, seen: n.now, filled: n.now,
-			ceilingAt: n.now, homeAt: n.now, size: 1, level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1}
+			ceilingAt: n.now, homeAt: n.now, size: 1,
+			level: max(n.plans[plan].depth, float64(n.plans[plan].open)), grant: 1}
 	}
 	c := &n.customers[i]
 	c.spread, c.first = min(max(spread, 1), n.nodes), max(first, 0)%n.nodes
@@ -609,8 +611,8 @@
 	return i
 }
 
-// forget frees the slots of servers that the roster names no more, once no open ticket does. It guards against
-// days on which new servers replace old ones all the time: each pick looks at every slot.
+// forget frees the slots of servers that the roster names no more, once no open ticket does. It guards
+// against days on which new servers replace old ones all the time: each pick looks at every slot.
 func (n *Node) forget() {
 	for i := range n.tickets {
 		for _, x := range n.tickets[i].runs {
@@ -786,6 +788,7 @@
 		case m.mark == useMark && n.wide && n.home(c) == n.me:
 			c.last = n.now
 			c.level -= t.passed
+			n.also(c, t.passed, false)
 			c.wanted.add(t.figure, n.now, demandFade)
 			if t.ended > 0 {
 				c.holds = slices.DeleteFunc(c.holds, func(h hold) bool { return h.node == from && h.ticket == t.ref })
@@ -796,8 +799,9 @@
 		case m.mark == askMark && n.wide && n.home(c) == n.me:
 			c.last = n.now
 			said := denied
-			if n.allow(c, t, from) {
+			if n.answer(c, t, from) {
 				said = granted
+				n.also(c, t.passed, true)
 			}
 			n.say(c, from, t.ref, said)
 		case m.mark == useMark && !n.wide:
@@ -830,8 +834,8 @@
 
 // say writes to a peer what may pass of a customer.
 func (n *Node) say(c *customer, peer int, ref uint32, v verdict) {
-	n.mail = append(n.mail, letter{peer, appendTold([]byte{grantMark}, told{key: c.key, figure: c.grant, plan: c.plan,
-		spread: c.spread, first: c.first, ref: ref, verdict: v, free: c.free})})
+	n.mail = append(n.mail, letter{peer, appendTold([]byte{grantMark}, told{key: c.key, figure: c.grant,
+		plan: c.plan, spread: c.spread, first: c.first, ref: ref, verdict: v, free: c.free})})
 }
 
 // leave notes that nothing of a ticket is out any more, for the cap of its customer.
@@ -899,3 +903,17 @@
 func (n *Node) waits(t *ticket) bool {
 	return t.asked > 0 && t.verdict == unheard && n.now < t.asked+n.wait
 }
+
+// doubts names the servers that this node found at fault and that rest; all nodes fill a quarter of each.
+func (n *Node) doubts() []byte {
+	n.text = append(n.text[:0], doubtMark)
+	for i := range n.servers {
+		for k := range n.servers[i].by {
+			if at := &n.servers[i].by[k]; at.misses > 0 && !at.told && (n.wide || n.now < at.until) &&
+				len(n.text)+mostEntry < maxTell {
+				n.text = appendDoubt(n.text, doubted{n.servers[i].Server, k, max(0, at.until-n.now)})
+			}
+		}
+	}
+	return n.text
+}
