--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -166,7 +166,8 @@
 		reason := c.U16()
 		r.Took = tenths(c.U32())
 		r.Settled = c.U8() != 0
-		r.Use, r.Units = int(c.U16()), float64(c.U16())
+		c.U16() // the customer's use as metered: no deployment has a meter
+		r.Units = float64(c.U16())
 		d.load = c.Floats(d.load)
 		r.Load = d.load
 		var known bool
--- a/internal/protocol/execution.go
+++ b/internal/protocol/execution.go
@@ -36,7 +36,6 @@
 	Type    string
 	Body    []byte
 	Units   float64 // the true units; 0: not told
-	Use     int     // 1 + the customer's use in percent of its quota; 0: not told
 	Close   bool    // the connection ends with it
 }
 
@@ -86,8 +85,5 @@
 	if v, err := strconv.ParseFloat(a.Header.Get("X-True-Cost"), 64); err == nil && v > 0 && v < 1e9 {
 		r.Units = v
 	}
-	if v, err := strconv.ParseFloat(a.Header.Get("X-Allowance-Used"), 64); err == nil && v >= 0 && v < 1e9 {
-		r.Use = 1 + int(v)
-	}
 	return r, nil
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -158,8 +158,8 @@
 			t.Errorf("%q: %v, %v, want %v", text, r.Outcome, err, want)
 		}
 	}
-	if r, _ := reply("HTTP/1.1 200 OK\r\nX-True-Cost: 3\r\nX-Allowance-Used: 7\r\nContent-Length: 0\r\n\r\n"); r.Units != 3 || r.Use != 8 {
-		t.Errorf("units and use read as %v, %v", r.Units, r.Use)
+	if r, _ := reply("HTTP/1.1 200 OK\r\nX-True-Cost: 3\r\nX-Allowance-Used: 7\r\nContent-Length: 0\r\n\r\n"); r.Units != 3 {
+		t.Errorf("units read as %v", r.Units)
 	}
 	for _, text := range []string{"", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", "nonsense\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -38,7 +38,6 @@
 	Outcome protocol.Outcome
 	Took    time.Duration
 	Units   float64
-	Use     int
 }
 
 // Ticket is one ticket at a time of one connection.
@@ -171,7 +170,7 @@
 	r := t.r
 	r.enter()
 	r.node.Ended(rules.Result{Ticket: t.id, Nth: t.nth, Server: t.server.id, Outcome: outcomes[e.Outcome],
-		Took: rules.Time(e.Took / tenth), Settled: e.Outcome == protocol.Completed, Use: e.Use, Units: e.Units})
+		Took: rules.Time(e.Took / tenth), Settled: e.Outcome == protocol.Completed, Units: e.Units})
 	r.leave()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,7 +49,6 @@
 	"safety.drain_grace":      "drain.grace",
 	"safety.answer_slack":     "answer.slack",
 	"safety.ask_within":       "ask.within",
-	"specifics.meter":         "meter",
 	"specifics.trued_up":      "settled",
 	"specifics.largest":       "largest",
 	"specifics.peer_in_per_s": "peers.take",
@@ -71,7 +70,7 @@
 	"tick": true, "services.slo": true, "services.deadline": true, "services.window": true,
 	"limits.conn_idle": true, "limits.connect_timeout": true,
 	"limits.max_retry_after": true, "safety.cold": true, "safety.tip_after": true, "safety.drain_grace": true,
-	"safety.answer_slack": true, "safety.ask_within": true, "specifics.meter": true,
+	"safety.answer_slack": true, "safety.ask_within": true,
 }
 
 var values = map[string]string{
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -74,7 +74,7 @@
 	reply := w.try(c, q, began.Add(c.Wait))
 	w.pool.count.Ends[reply.Outcome].Add(1)
 	took := time.Since(began)
-	return reply, routing.End{Outcome: reply.Outcome, Took: took, Units: reply.Units, Use: reply.Use}
+	return reply, routing.End{Outcome: reply.Outcome, Took: took, Units: reply.Units}
 }
 
 // connect finds a connection to the choice's server, kept or new; without one it tells how the execution ended.
--- a/rules/helpers_test.go
+++ b/rules/helpers_test.go
@@ -73,7 +73,7 @@
 		"nodes": strconv.Itoa([]int{1, 2, 3, 4, 60}[r.Intn(5)]), "peers.take": "40", "tick": strconv.Itoa(10 + r.Intn(40)),
 		"executions": strconv.Itoa(1 + r.Intn(6)), "copies": yes(), "withdraw": yes(), "peers": yes(), "advice": yes(),
 		"advice.most": "10000", "cold.from": "0.25", "cold.span": "100000", "fall.multiple": "3", "fall.span": "20000",
-		"band.count": "5", "plan.count": strconv.Itoa(testPlans), "meter": []string{"0", "10000"}[r.Intn(2)],
+		"band.count": "5", "plan.count": strconv.Itoa(testPlans),
 		"roster": []string{"push", "ask"}[r.Intn(2)]}
 	for i, repeats := range []string{"replayable", "single-use", "referenced", "referenced", "referenced"} {
 		b := "band." + strconv.Itoa(i) + "."
@@ -214,7 +214,7 @@
 			t.closed = true
 		}
 		h.n.Ended(Result{Ticket: id, Nth: k, Server: x.server.id, Outcome: x.outcome, Took: h.now - x.sent,
-			Settled: t.closed, Use: h.rng.Intn(300), Units: float64(h.rng.Intn(3))})
+			Settled: t.closed, Units: float64(h.rng.Intn(3))})
 		h.pull()
 	}
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -82,7 +82,6 @@
 	Outcome Outcome
 	Took    Time
 	Settled bool    // the ticket has its final answer
-	Use     int     // 1 + the customer's use in percent of its rate, as metered; 0: not told
 	Units   float64 // the true units, once, with the first OK of plans settled afterwards
 	Load    []float64
 }
