--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,7 +57,7 @@
 	holdFor    = 3.0  // usual latencies that an execution counts as out at a home, unless its end is told
 	leastGrant = 0.01 // of a customer's tickets
 	reserve    = 0.7  // of a store, kept for what passes until word gets round
-	homePart   = 0.7  // of a ceiling, kept by the home; the rest is for when that can't be asked
+	homePart   = 0.5  // of a ceiling, kept by the home; the rest is for when that can't be asked
 	wideAt     = 0.75 // of what a peer takes in, when all tell all: past it not all can hear all
 	heardLeast = 0.1  // of a faded count of messages
 	mostEntry  = 56   // bytes of a customer in a message
