--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,17 +1,18 @@
 // Package rules decides for one edge node. A host makes a Node with New, sets the time with Clock,
 // reports what came in (Roster, Take, Ended, Started, Lapsed, Probed, Heard, Elapsed), which only
 // updates what is known, and then calls Next again and again until it says that there is no more.
-// The interface and the state types stand in types.go; every decision and tuned value stands here.
+// The interface, the state types and the bookkeeping of messages stand in types.go, the watch in watch.go;
+// every decision and tuned value stands here.
 //
 // The design: each second a limit λ = a/T, a from a two-layer map of in-flight, latency and their
 // averages (limit, policy); then the customer's bucket, its quota times this node's part of its
-// demand (part, inQuota). Past either a ticket is bounced at once. Beside the design stand six:
+// demand (part, inQuota, byHome). Past either a ticket is bounced at once. Beside the design stand six:
 //  1. weighted rotation with warm-up (pick, weigh)
 //  2. the cold budget (coldRoom)
-//  3. suspicion of failing or silent servers, by band, own and told (judge, rest, beat, doubt)
+//  3. suspicion of failing or silent servers, by band, own and told (judge, rest, beat, doubt, ill)
 //  4. budgeted further executions, time-outs, calls back from suspected servers (further, decide, beat)
-//  5. caps and ceilings (openCap, the soft cap of pick, ceilingRoom)
-//  6. one home for a customer's bucket where not all nodes can hear all (report)
+//  5. caps and ceilings (openCap, the soft cap of pick, allow, ceilingRoom)
+//  6. one home for a customer's bucket where not all nodes can hear all (byHome, allow, regrant)
 package rules
 
 import (
@@ -43,7 +44,7 @@
 
 	demandFade  = 2 * interval  // memory of a customer's demand
 	tellEvery   = interval / 3  // between messages to peers
-	silence     = 4 * interval  // without word of peers or meter
+	silence     = 4 * interval  // without word of peers
 	sliceBelief = 3.0           // of the quota, belief in the even slice against what is told
 	idleAfter   = 60 * interval // a customer ages out, if its bucket is full by then
 	maxTell     = 256           // bytes a message holds
