--- a/rules/rules.go
+++ b/rules/rules.go
@@ -581,12 +581,12 @@
 }
 
 // byHome asks the home of a customer, a node of its set, for each of its tickets; the home keeps the one
-// bucket, what is out for the customer and most of its ceiling, so that the part of the demand that passes
+// bucket, what is out for the customer and half of its ceiling, so that the part of the demand that passes
 // here is the design's, ticket by ticket. While the bucket is well filled the home lets tickets pass freely
 // and is told afterwards; where far more is asked than fits, a node asks for a part of the tickets only. It
 // guards against a quota granted by each of many nodes that see too little of a customer for buckets of their
-// own. It could harm while a home is down or stands still: a ticket waits for it, then passes by what was
-// last told.
+// own. It could harm while a home is down or stands still: a ticket waits for it, then passes by the even
+// slice, over what this node was asked before.
 func (n *Node) byHome(c *customer, t *ticket) bool {
 	home := n.home(c)
 	if home == n.me {
