--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"cherrygap/internal/operator"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.0.0.9:8500","seed":"8c1f30d27a5be964",
@@ -164,3 +166,35 @@
 		t.Error(err)
 	}
 }
+
+// The operator file's settings are written over the platform's; none given changes nothing, and a band that the
+// platform does not name ends the start with its name.
+func TestOperatorSettings(t *testing.T) {
+	text := strings.Replace(good, `"slot_no":2`, `"slot_no":2,"services":[{"name":"seats","semantics":"at_most_once"}]`, 1)
+	for _, c := range []struct{ operator, repeats, watched, fault string }{
+		{"", "single-use", "", ""},
+		{"[[settings.band]]\nname = \"seats\"\nrepeats = \"replayable\"\n", "replayable", "", ""},
+		{"[watch.settings]\nexecutions = 2\n", "single-use", "", ""},
+		{"[watch]\non = true\n[[watch.settings.band]]\nname = \"seats\"\nrepeats = \"referenced\"\n", "single-use", "referenced", ""},
+		{"[[settings.band]]\nname = \"other\"\nrepeats = \"replayable\"\n", "", "", "settings: band \"other\": the platform's settings name seats"},
+	} {
+		conf, err := parseConfig([]byte(text), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		op, faults := operator.Parse(c.operator)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		err = conf.take(op)
+		if c.fault != "" {
+			if err == nil || err.Error() != c.fault {
+				t.Errorf("%q: %v", c.operator, err)
+			}
+			continue
+		}
+		if err != nil || conf.set["band.0.repeats"] != c.repeats || conf.watch["band.0.repeats"] != c.watched {
+			t.Errorf("%q: %v, %v, watched %v", c.operator, err, conf.set, conf.watch)
+		}
+	}
+}
