--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -394,6 +394,42 @@
 	}
 }
 
+// A ticket that waited past its contract time is bounced at once though limit and quota have room for it, since its
+// client has no use for a late answer and the server's time is another's.
+func TestLateAfterAStallIsBouncedWithRoomLeft(t *testing.T) {
+	n := plain(10, nil)
+	n.lambda, n.scale, n.intervalAt = 4000, 500, 9*Second
+	n.lows, n.rates = []float64{500}, []float64{4000}
+	n.Take(Arrival{ID: 1000, Left: Second, Units: 1, Spread: 1})
+	pull(n, Send)
+	n.Clock(2 * Second)
+	for id := range uint32(20) {
+		n.Take(Arrival{ID: id, Left: Second, Units: 1, Spread: 1})
+	}
+	bounced := 0
+	for d, ok := n.Next(); ok; d, ok = n.Next() {
+		if d.Verb == Bounce {
+			if bounced++; d.Ticket > 12 {
+				t.Errorf("ticket %d of 20, which is in time yet, was bounced", d.Ticket)
+			}
+		}
+	}
+	if bounced < 8 {
+		t.Fatalf("%d of 20 bounced, of which half waited past the contract time", bounced)
+	}
+}
+
+// A node that uses few servers takes the one with the least out for its weight: by its turn alone it would add to a
+// larger server's queue, under that one's cap yet, while a smaller one stands idle.
+func TestOwnServerWithTheLeastOutComesFirst(t *testing.T) {
+	n := plain(2, Settings{"nodes": "60", "peers": "true", "peers.take": "40"})
+	n.servers[1].Weight, n.servers[1].open, n.servers[1].turn = 4, 1, 100
+	n.Take(Arrival{ID: 1, Left: Second, Units: 1, Spread: 1})
+	if got := n.pick(&n.tickets[0]); got != 0 {
+		t.Fatalf("server %d was taken, with one out and the other idle", got)
+	}
+}
+
 // Peers' words of one miss each add up: a server of which they tell clearly more than of others is suspected, and
 // gets trials by budget; where all servers miss alike, as for want of room, none is.
 func TestMissesToldByPeersAddUp(t *testing.T) {
--- a/rules/watch_test.go
+++ b/rules/watch_test.go
@@ -105,3 +105,31 @@
 		}
 	}
 }
+
+// BenchmarkDecision is what a ticket costs at a node of a hundred servers and two thousand customers, without and
+// with a watch.
+func BenchmarkDecision(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		name := "off"
+		if on {
+			name = "on"
+		}
+		b.Run(name, func(b *testing.B) {
+			n := plain(100, nil)
+			for k := range uint64(2000) {
+				n.known(k, 0, 1, 0)
+			}
+			if on {
+				n.Watch(n.set)
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				n.Clock(Second + Time(i)*100)
+				n.Take(Arrival{ID: uint32(i), Customer: uint64(i % 2000), Left: Second, Units: 1, Spread: 1})
+				for _, d := range pull(n, Send) {
+					n.Ended(Result{Ticket: d.Ticket, Server: d.Server, Took: 400, Settled: true})
+				}
+			}
+		})
+	}
+}
