Errors of the peers' socket are paced, or a lasting one would take the whole core

Seen: Mail.Hear (internal/transport/peers.go) asked the socket again at once after any error but a closed socket: 271,808 turns in 0.2 s where each read fails. The listener's loop has paused for 10 ms there since it was written; nothing else in the network code loops on errors (watch, pool and ring looked through). Change: the same pause after an error, under one name for both loops. A datagram that is no peer's is no error and is not paced. Test: TestErrorsOfThePeersSocketArePaced, 271,808 errors in 20 pauses without the change, at most 21 with it; both seen.

--- a/internal/transport/ends.go
+++ b/internal/transport/ends.go
@@ -45,6 +45,8 @@
 	Connect  time.Duration // a connection not up by then is given up
 }
 
+const againSoon = 10 * time.Millisecond // after a socket's error that is none of our own making
+
 const keptBack = 64 // descriptors for logs, listeners, the runtime and what is being closed
 
 // side is how many connections there may be to clients, and as many to app servers.
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -57,7 +57,7 @@
 		}
 		if err != nil { // none of our own making; never a reason to stop
 			f.log.Warn().Err(err).Msg("accept failed")
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(againSoon)
 			continue
 		}
 		select {
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"cherrygap/internal/protocol"
 )
@@ -37,7 +38,8 @@
 }
 
 // Hear passes on what peers send, until the socket is closed. What is not theirs, or can't be read, is
-// counted and dropped.
+// counted and dropped. A socket that gives nothing but errors is asked again after a pause, as the listener is
+// (Front.accept): without it this loop would take the whole core for as long as they last.
 func (m *Mail) Hear(heard func(from int, text []byte) bool) {
 	buf := make([]byte, protocol.MostDatagram+1)
 	for {
@@ -45,7 +47,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if from, ok := m.peers.From(addr, n); err == nil && ok && heard(from, buf[:n]) {
+		if err != nil {
+			m.count.HeardBad.Add(1)
+			time.Sleep(againSoon)
+			continue
+		}
+		if from, ok := m.peers.From(addr, n); ok && heard(from, buf[:n]) {
 			m.count.Heard.Add(1)
 		} else {
 			m.count.HeardBad.Add(1)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -782,6 +782,27 @@
 	}
 }
 
+// A socket that gives errors for as long as it is asked must not take the core for itself.
+func TestErrorsOfThePeersSocketArePaced(t *testing.T) {
+	count := &Counters{}
+	m, err := OpenMail(netip.MustParseAddrPort("127.0.0.1:0"), protocol.NewPeers(nil, netip.AddrPort{}), count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.conn.SetReadDeadline(time.Unix(1, 0)) // every read fails from now on
+	done := make(chan struct{})
+	go func() {
+		m.Hear(func(int, []byte) bool { return true })
+		close(done)
+	}()
+	time.Sleep(20 * againSoon)
+	m.conn.Close()
+	<-done
+	if n := count.HeardBad.Load(); n < 1 || n > 21 {
+		t.Errorf("%d errors in 20 pauses", n)
+	}
+}
+
 // The next call follows the last answer at once; a list that can't be read is counted and dropped.
 func TestWatchGoesOn(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
