A message to peers that can't be sent holds up no ticket

Seen: Router.leave (internal/routing/router.go) took the mail lock while it held the router's lock, and kept the mail lock over the write to the peers' socket. A write that waits for room (Go's UDP write parks without a time limit) left the next caller with letters waiting for the mail lock with the router's lock in hand: from then on no ticket was taken, picked or reported, and no tick. Ruled out elsewhere: pool, front and worker take the router's lock after their own and never the other way, and no lock of theirs is held over a dial or a write. Change: who tells goes on with what others leave meanwhile, in order and one at a time as before; nobody waits for it. At most 1,024 letters wait behind one that is stuck; any datagram may be lost. Test: TestBlockedMessagesHoldUpNoTicket hangs for its 5 s without the change and passes with it (both seen, -race).

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -12,7 +12,10 @@
 	"cherrygap/rules"
 )
 
-const tenth = 100 * time.Microsecond // the module's unit of time
+const (
+	tenth       = 100 * time.Microsecond // the module's unit of time
+	mostLetters = 1 << 10                // that wait while one is being told
+)
 
 // Config is what a Router needs to know.
 type Config struct {
@@ -53,10 +56,10 @@
 	tickets []*Ticket // by slot
 	free    []uint32
 	fleet   fleet
-	outbox  []letter // told once the lock is free
+	outbox  []letter // told once the lock is free,
+	telling bool     // by one at a time, in order
 	watch   bool
 	note    []byte
-	mail    sync.Mutex // keeps the outbox in order
 }
 
 type letter struct {
@@ -133,24 +136,28 @@
 			panic("routing: decision that the node can't carry out")
 		}
 	}
-	if len(r.outbox) == 0 && !r.watch && r.note == nil {
+	if r.telling { // whoever tells goes on with these: a peers' socket that blocks must hold up no ticket
+		r.outbox = r.outbox[:min(len(r.outbox), mostLetters)] // any may be lost
 		r.mu.Unlock()
 		return
 	}
-	r.mail.Lock()
-	defer r.mail.Unlock()
-	outbox, watch, note := r.outbox, r.watch, r.note
-	r.outbox, r.watch, r.note = nil, false, nil
-	r.mu.Unlock()
-	for _, l := range outbox {
-		r.cfg.Tell(l.peer, l.text)
-	}
-	if watch {
-		r.cfg.Watch()
-	}
-	if note != nil {
-		r.cfg.Note(note)
+	for r.telling = true; len(r.outbox) > 0 || r.watch || r.note != nil; {
+		outbox, watch, note := r.outbox, r.watch, r.note
+		r.outbox, r.watch, r.note = nil, false, nil
+		r.mu.Unlock()
+		for _, l := range outbox {
+			r.cfg.Tell(l.peer, l.text)
+		}
+		if watch {
+			r.cfg.Watch()
+		}
+		if note != nil {
+			r.cfg.Note(note)
+		}
+		r.mu.Lock()
 	}
+	r.telling = false
+	r.mu.Unlock()
 }
 
 // Watched is how many decisions on tickets were compared with Config.Compare, and how many those settings would have
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,3 +260,47 @@
 		t.Errorf("equal settings differ: %v", differs)
 	}
 }
+
+// While a message to peers can't be sent, tickets go on: one that waits for the peers' socket holds no lock.
+func TestBlockedMessagesHoldUpNoTicket(t *testing.T) {
+	set := settingsOf("replayable")
+	set["nodes"], set["peers"], set["peers.take"] = "3", "true", "40"
+	now := time.Unix(1000, 0)
+	block, told := make(chan struct{}), atomic.Int64{}
+	r := New(Config{Seed: 7, Settings: set, Wake: func(time.Duration) {}, Watch: func() {}, Note: func([]byte) {},
+		Tell: func(int, []byte) { told.Add(1); <-block }, Clock: func() time.Time { return now }})
+	r.Listed(listOf(3, protocol.InService), true)
+	all := make(chan struct{})
+	go func() {
+		defer close(all)
+		now = now.Add(time.Second)
+		var ticks sync.WaitGroup
+		ticks.Add(1)
+		go func() { defer ticks.Done(); r.Tick() }() // its messages are stuck
+		for told.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		now = now.Add(time.Second)
+		r.Tick() // and so are these, behind them
+		now = now.Add(20 * time.Millisecond)
+		ticket := r.NewTicket(&hand{})
+		for range 5 {
+			ticket.Take(&request, 2*time.Second)
+			if c := ticket.Pick(); c.Do != Execute {
+				t.Errorf("%+v", c)
+				break
+			}
+			ticket.Report(End{Outcome: protocol.Completed, Took: time.Millisecond})
+		}
+		close(block)
+		ticks.Wait()
+	}()
+	select {
+	case <-all:
+	case <-time.After(5 * time.Second):
+		t.Fatal("tickets wait for a message to peers")
+	}
+	if told.Load() < 2 {
+		t.Error("the messages behind a stuck one were lost")
+	}
+}
