A known list that can't be read no longer keeps a node from its start

Seen: parseConfig (cmd/cherrygap/config.go) ended the start with exit 2 where any one entry of 'known' was odd (a state it does not know, a cell past 65,535), although the list is only what discovery told once and would tell again. Change: at a start the node logs 'known list refused' and begins as one that knows nothing: it asks for the whole list and answers /healthz with 503 until told. SIGHUP and 'config check' refuse the file as before; any other fault still ends the start. Test: TestOddKnownListIsNoReasonNotToStart, which does not compile against the old text; with startConfig as readConfig it failed on all four lists.

--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -42,7 +42,7 @@
 
 // serve reads the platform's configuration and runs the node until it has drained.
 func serve(op operator.File) error {
-	c, err := readConfig()
+	c, err := startConfig()
 	if err != nil {
 		return err
 	}
@@ -103,6 +103,8 @@
 	known := len(c.known.Targets) > 0
 	if known {
 		router.Listed(&c.known, true)
+	} else if c.odd != nil {
+		log.Warn().Err(c.odd).Msg("known list refused")
 	}
 	watch := &transport.Watch{Addr: c.Discovery, Rev: c.known.Rev, Whole: !known, Limits: limits, Log: &log,
 		Count: count, Missed: router.Missed, Listed: func(l *protocol.List) {
--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -35,6 +35,34 @@
 	}
 }
 
+// A known list that can't be read, by any of its entries, must not keep a node from its start; all else must, and
+// SIGHUP and `config check` go on refusing such a file.
+func TestOddKnownListIsNoReasonNotToStart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("GW_CONFIG", file)
+	old, _ := parseConfig([]byte(good), os.Getenv)
+	for _, known := range []string{`7`, `{"rev":"x"}`, `{"rev":1,"targets":[{"uid":"s","state":"later"}]}`,
+		`{"rev":1,"targets":[{"uid":"s","endpoint":"127.0.0.1:1","state":"in_service","pod_group":70000}]}`} {
+		text := strings.Replace(good, `{"rev":41,"all":true,"targets":[]}`, known, 1)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if c, err := startConfig(); err != nil || c.odd == nil || len(c.known.Targets) > 0 || c.set["node"] != "2" {
+			t.Errorf("%s: %v", known, err)
+		}
+		if next, err := old.reload(func(string) { t.Error("moved") }); err == nil || next != old {
+			t.Errorf("%s taken on SIGHUP", known)
+		}
+		if checkFile(file) == nil {
+			t.Errorf("%s passes the check", known)
+		}
+		os.WriteFile(file, []byte(strings.Replace(text, "8c1f30d27a5be964", "seed", 1)), 0o600)
+		if _, err := startConfig(); err == nil {
+			t.Errorf("started without a seed")
+		}
+	}
+}
+
 // A new file changes nothing unless all of it is good, and discovery's address only where it names another.
 func TestNewConfiguration(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
