The next look at open executions always lies ahead, whatever the settings

Seen: with no tick and a contract time under 3 ms beat() (rules/rules.go) set its next look to now, and Next gave Wake without end: the node's one goroutine under the lock would spin for good. Change: a tenth of a millisecond at least. Nothing changes where the tick or a thirtieth of the contract time is above that, as on every deployment known. Test: TestDecisionsEndWhateverTheSettings, endless without the change, passes with it; both seen.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -941,7 +941,7 @@
 // against cut links. It could harm where works differ far more than usual; others then take its turn.
 // An execution late at a suspected server is called back, and the ticket sent again once that has ended.
 func (n *Node) beat() {
-	n.beatAt = n.now + max(n.tick, n.contract/beats)
+	n.beatAt = n.now + max(n.tick, n.contract/beats, 1)
 	for i := range n.servers {
 		for k := range n.servers[i].by {
 			n.servers[i].by[k].waited, n.servers[i].by[k].lost = 0, 0
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -88,6 +88,22 @@
 	return out
 }
 
+// Without a tick and with a very short contract time the next look must lie ahead, or decisions never end.
+func TestDecisionsEndWhateverTheSettings(t *testing.T) {
+	for _, set := range []Settings{{"tick": "0", "band.0.contract": "10"}, {"tick": "-5"}, {"tick": "0", "band.0.contract": "0"}} {
+		n := plain(2, set)
+		for now := Second; now < Second+50; now++ {
+			n.Clock(now)
+			k := 0
+			for _, ok := n.Next(); ok; _, ok = n.Next() {
+				if k++; k > 100 {
+					t.Fatalf("decisions without end with %v", set)
+				}
+			}
+		}
+	}
+}
+
 // A restarted node sees the shortest answers first; by them every later latency is a jam.
 func TestFirstShortAnswersDoNotSetT(t *testing.T) {
 	n := plain(10, nil)
