Shared duties: membership between nodes, duties by rendezvous hashing, checks of app servers

Need: each node that checks every app server pays for it over the whole fleet; a node that does it for all dies at some time.

Change: internal/duties (no I/O: members after SWIM, owners by rendezvous hashing, pacing), internal/transport/duty.go (datagrams, probes over the pool), [duties] in the operator file, 'cherrygap lab duties' (internal/lab/dutylab: the real module in virtual time).

--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cherrygap/internal/duties"
 	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/settings"
@@ -40,6 +41,7 @@
 	odd   error // why the known list can't be read, at a start
 	set   map[string]string
 	watch map[string]string // settings to watch, from the operator file; nil for none
+	share operator.Duties   // from the operator file
 	level zerolog.Level     // from the operator file; the zero value is debug, so serve sets it
 }
 
@@ -112,7 +114,7 @@
 // take writes the operator file's settings over the platform's, and sets what is watched. Without any given it
 // changes nothing but the level of the log.
 func (c *config) take(op operator.File) (err error) {
-	c.level = logLevel(op.Log.Level)
+	c.level, c.share = logLevel(op.Log.Level), op.Duties
 	if c.set, err = op.Settings.Over(c.set); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -137,7 +139,7 @@
 		}
 		move(next.named) // over GW_DISCOVERY too, which is of the start
 	}
-	next.set, next.watch, next.level = c.set, c.watch, c.level // what the node runs by until it restarts
+	next.set, next.watch, next.share, next.level = c.set, c.watch, c.share, c.level // what the node runs by until it restarts
 	return next, nil
 }
 
@@ -154,3 +156,21 @@
 	}
 	return l
 }
+
+// shares tells whether this node takes part in the fleet's shared duties: where the operators want it and the
+// platform allows probes and messages between nodes.
+func (c *config) shares() bool {
+	me, err := strconv.Atoi(c.set["node"])
+	return c.share.On && c.set["probes"] == "true" && c.set["peers"] == "true" && c.Peer.IsValid() && len(c.Peers) > 1 &&
+		err == nil && me >= 0 && me < len(c.Peers)
+}
+
+// duties is what the shared duties are told at the start.
+func (c *config) duties() duties.Config {
+	figure := func(name string) float64 {
+		v, _ := strconv.ParseFloat(c.set[name], 64)
+		return v
+	}
+	return duties.Config{Me: int(figure("node")), Nodes: len(c.Peers), Seed: c.seed, Take: figure("peers.take"),
+		Bytes: c.share.Bytes, Every: time.Duration(c.share.CheckMs * float64(time.Millisecond))}
+}
--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"cherrygap/internal/lab/dutylab"
 	"cherrygap/internal/lab/emulator"
 	"cherrygap/internal/lab/load"
 	"cherrygap/internal/lab/model"
@@ -23,7 +24,7 @@
 // newLab is the laboratory's commands. Each reads the operator file's [lab] part; flags hold over it.
 func newLab(opFile *string) *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "The laboratory: emulated app servers and open-loop load, on loopback only"}
-	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile), newReport())
+	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile), newDuties(opFile), newReport())
 	return lab
 }
 
@@ -288,3 +289,35 @@
 	cmd.Flags().StringVar(&title, "title", "cherrygap lab", "title of the plots and the table")
 	return cmd
 }
+
+func newDuties(opFile *string) *cobra.Command {
+	var cfg dutylab.Config
+	cmd := &cobra.Command{
+		Use:   "duties",
+		Short: "Play the fleet's shared duties in virtual time and say how long servers went unchecked",
+		Long: `Run the real membership and duties of N nodes over datagrams that are late, lost, doubled and out of
+order, through a scenario (calm, vanish, flap, split, lossy) in the middle third of the run. Prints one JSON
+line: worst time a server went unchecked (s), doubled checks, bytes a node and second, and how long after
+the trouble all agree on who lives. --check and --bytes come from the operator file's [duties].`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := loadOperator(*opFile)
+			if err != nil {
+				return err
+			}
+			cfg.Every, cfg.Bytes = time.Duration(op.Duties.CheckMs*float64(time.Millisecond)), op.Duties.Bytes
+			res, err := dutylab.Play(cfg)
+			if err != nil {
+				return err
+			}
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
+		},
+	}
+	cmd.Flags().IntVar(&cfg.Nodes, "nodes", 80, "edge nodes, 2 or more")
+	cmd.Flags().IntVar(&cfg.Servers, "servers", 60, "app servers, 1 or more")
+	cmd.Flags().DurationVar(&cfg.For, "for", 2*time.Minute, "virtual time")
+	cmd.Flags().Uint64Var(&cfg.Seed, "seed", 1, "seed of every random draw")
+	cmd.Flags().StringVar(&cfg.Scenario, "scenario", "vanish", strings.Join(dutylab.Scenarios, ", "))
+	cmd.Flags().Float64Var(&cfg.Take, "take", 40, "messages a second that a node takes in, of all kinds")
+	return cmd
+}
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"cherrygap/internal/duties"
 	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/routing"
@@ -92,11 +93,15 @@
 		cfg.Tell, hear = mail.Tell, mail.Hear
 	}
 	router := routing.New(cfg)
+	var shared *transport.Duties
 	counters := func(message string) {
 		e := log.Info().Object("counters", count)
 		if c.watch != nil {
 			e = e.Object("watch", watched{router})
 		}
+		if shared != nil {
+			e = e.Object("duties", shared)
+		}
 		e.Msg(message)
 	}
 	pool := transport.NewPool(limits, &log, count)
@@ -106,10 +111,16 @@
 	} else if c.odd != nil {
 		log.Warn().Err(c.odd).Msg("known list refused")
 	}
+	if c.shares() {
+		shared = transport.NewDuties(c.duties(), router, pool, cfg.Tell, &log)
+	}
 	watch := &transport.Watch{Addr: c.Discovery, Rev: c.known.Rev, Whole: !known, Limits: limits, Log: &log,
 		Count: count, Missed: router.Missed, Listed: func(l *protocol.List) {
 			router.Listed(l, false)
 			pool.Keep(router.MayStart)
+			if shared != nil {
+				shared.Listed()
+			}
 		}}
 	if c.set["roster"] == "ask" {
 		watch.Asked = asked
@@ -120,7 +131,16 @@
 	}
 	go alarm.Run(router.Tick)
 	go watch.Run()
-	go hear(router.Heard)
+	if shared != nil {
+		go shared.Run()
+		defer shared.Close()
+	}
+	go hear(func(from int, text []byte) bool {
+		if shared != nil && text[0] == duties.Mark {
+			return shared.Heard(from, text)
+		}
+		return router.Heard(from, text)
+	})
 	router.Tick()
 	log.Info().Str("listen", c.Listen).Msg("started")
 	for s := range signals {
--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -226,3 +226,30 @@
 		}
 	}
 }
+
+// Shared duties are done only where the operators want them and the platform allows probes and peers.
+func TestDutiesNeedThePlatformsLeave(t *testing.T) {
+	text := strings.NewReplacer(`"peers":true`, `"peers":true,"probes":true`, `["127.0.0.5:7946"]`,
+		`["127.0.0.5:7946","127.0.0.5:7947","127.0.0.4:7946"]`).Replace(good)
+	for k, c := range []struct {
+		old, new string
+		on, want bool
+	}{{"", "", true, true}, {"", "", false, false}, {`"probes":true`, `"probes":false`, true, false},
+		{`"peers":true`, `"peers":false`, true, false}, {`"slot_no":2`, `"slot_no":3`, true, false}} {
+		conf, err := parseConfig([]byte(strings.Replace(text, c.old, c.new, 1)), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		op := operator.Default()
+		op.Duties.On = c.on
+		if err := conf.take(op); err != nil {
+			t.Fatal(err)
+		}
+		if conf.shares() != c.want {
+			t.Errorf("%d: shares %v", k, !c.want)
+		}
+		if d := conf.duties(); k == 0 && (d.Me != 2 || d.Nodes != 3 || d.Bytes != 4096 || d.Every != 5*time.Second) {
+			t.Errorf("told %+v", d)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,10 +18,19 @@
 
 // File is the whole operator file. The zero value is not valid; start from Default.
 type File struct {
-	Log      Log   `toml:"log"`
-	Settings Shape `toml:"settings"` // over the platform's settings
-	Watch    Watch `toml:"watch"`
-	Lab      Lab   `toml:"lab"`
+	Log      Log    `toml:"log"`
+	Settings Shape  `toml:"settings"` // over the platform's settings
+	Watch    Watch  `toml:"watch"`
+	Duties   Duties `toml:"duties"`
+	Lab      Lab    `toml:"lab"`
+}
+
+// Duties are the shared periodic duties (docs/duties.md): checks of app servers, each by one node of the fleet. They
+// are done only where the platform's settings allow probes and peers, whatever stands here.
+type Duties struct {
+	On      bool    `toml:"on"`
+	CheckMs float64 `toml:"check_ms"` // between two checks of one app server, ms; longer in a large fleet
+	Bytes   float64 `toml:"bytes"`    // that this node sends for duties a second at most
 }
 
 // Log is how the program writes its structured log (zerolog, one JSON object a line on standard error).
@@ -84,7 +93,8 @@
 // Default is a file with every key at its documented default.
 func Default() File {
 	return File{
-		Log: Log{Level: "info"},
+		Log:    Log{Level: "info"},
+		Duties: Duties{CheckMs: 5000, Bytes: 4096},
 		Lab: Lab{Seed: 1,
 			Emulator: Emulator{Listen: "127.0.0.1:0", Servers: 4, Concurrency: 8, Queue: 32, Connections: 64,
 				ServiceMs: 20, Spread: 0.4, HandshakeMs: 2, WarmupS: 10, ColdFactor: 4, IdleS: 30, DrainMs: 2000,
@@ -190,6 +200,8 @@
 	}
 	f.Settings.check("settings", bad)
 	f.Watch.Settings.check("watch.settings", bad)
+	within("duties.check_ms", f.Duties.CheckMs, 200, 3.6e6)
+	within("duties.bytes", f.Duties.Bytes, 512, 1e6)
 	e := &f.Lab.Emulator
 	loopback("lab.emulator.listen", e.Listen, bad)
 	within("lab.emulator.servers", float64(e.Servers), 1, 512)
--- a/internal/protocol/execution.go
+++ b/internal/protocol/execution.go
@@ -58,6 +58,11 @@
 	return append(b, "\r\n\r\n"...)
 }
 
+// AppendProbe appends a probe of an app server. It carries no id: it is no ticket's execution.
+func AppendProbe(b []byte, host string) []byte {
+	return append(append(append(b, "GET /healthz HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
+}
+
 // ErrAnswer is an answer that an app server can't have meant.
 var ErrAnswer = errors.New("malformed answer")
 
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -15,6 +15,9 @@
 	state protocol.State
 }
 
+// Number is the server's number, the same at all nodes.
+func (s *Server) Number() uint32 { return s.id }
+
 // fleet maps app servers to the module's numbers.
 type fleet struct {
 	servers map[uint32]*Server
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -215,3 +215,26 @@
 	defer r.mu.Unlock()
 	return r.fleet.servers[s.id] == s && s.state == protocol.InService
 }
+
+// Servers lists the app servers in service, in no order.
+func (r *Router) Servers() (out []*Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.fleet.servers {
+		if s.state == protocol.InService {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Probed takes in how a check of an app server ended, made here or by a peer. The module says what it changes.
+func (r *Router) Probed(number uint32, good bool) {
+	o := rules.Failed
+	if good {
+		o = rules.OK
+	}
+	r.enter()
+	r.node.Probed(number, o, nil)
+	r.leave()
+}
