A log that nobody reads no longer holds up the end of a node

Seen: at the end run() (cmd/cherrygap/main.go) waited for the log's writer, which waits for whoever reads standard error: with a full pipe the node had answered all it took and never ended. Tickets were never held up by that, as the writer stands behind a buffer that drops lines. Ruled out: front.Drain had returned (the probe ended within 0.5 s with a read log). Change: the last lines have 0.2 s. The log's time format is set once for the process, as two nodes of one test raced for it. Test: TestAStuckLogHoldsUpNoEnd: 'the node does not end' without the change, passes with it (both seen, -race).

--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -29,7 +29,6 @@
 }
 
 func labLog(op operator.File) zerolog.Logger {
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	return zerolog.New(os.Stderr).Level(logLevel(op.Log.Level)).With().Timestamp().Logger()
 }
 
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -28,10 +28,13 @@
 const (
 	acceptFor = 400 * time.Millisecond // after SIGTERM
 	heapPart  = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
-	logLines  = 1000                   // that wait to be written
+	logLines  = 1000                   // that wait to be written,
+	lastLines = 200 * time.Millisecond // and for so long at the end
 	gcPercent = 400                    // little lives, so that a roomy heap saves collections
 )
 
+func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs } // the library's, for the whole process
+
 func main() {
 	if err := newRoot().Execute(); err != nil {
 		if !errors.Is(err, errShown) {
@@ -58,11 +61,17 @@
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
 	debug.SetMemoryLimit(int64(heapPart * float64(c.Limits.MemoryMB<<20)))
 	debug.SetGCPercent(gcPercent)
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	count := &transport.Counters{}
 	// Who reads the log must not hold up tickets: lines that it is too slow for are lost and counted.
 	out := diode.NewWriter(struct{ io.Writer }{os.Stderr}, logLines, 0, func(n int) { count.LinesLost.Add(int64(n)) })
-	defer out.Close()
+	defer func() { // the last lines, as far as someone reads them: an end must not wait for that
+		written := make(chan struct{})
+		go func() { out.Close(); close(written) }()
+		select {
+		case <-written:
+		case <-time.After(lastLines):
+		}
+	}()
 	log := zerolog.New(out).Level(c.level).With().Timestamp().Str("node", c.Name).Logger()
 	limits := c.limits()
 	signals := make(chan os.Signal, 4)
--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -195,6 +195,45 @@
 	}
 }
 
+// Nobody reads the log: the node serves, and ends on SIGTERM, all the same.
+func TestAStuckLogHoldsUpNoEnd(t *testing.T) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := os.Stderr
+	os.Stderr = w
+	defer func() { os.Stderr = old; r.Close(); w.Close() }()
+	w.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	for err == nil { // until the pipe is full
+		_, err = w.Write(make([]byte, 1<<12))
+	}
+	w.SetWriteDeadline(time.Time{})
+	listen := port(t)
+	c, err := parseConfig([]byte(strings.NewReplacer("127.0.0.4:9000", listen, "127.0.0.9:8500", port(t),
+		"127.0.0.4:7946", "127.0.0.1:0").Replace(good)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- run(c) }()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", listen); err == nil {
+			conn.Close()
+			break
+		}
+	}
+	syscall.Kill(syscall.Getpid(), syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(acceptFor + 3*time.Second):
+		t.Error("the node does not end")
+	}
+}
+
 // The operator file's settings are written over the platform's; none given changes nothing, and a band that the
 // platform does not name ends the start with its name.
 func TestOperatorSettings(t *testing.T) {
