Quotas leased from a shared store: commitments a window, a go-redis client, a stand-in with faults

Need: a customer's quota holds over nodes that each see a part, while the shared count may stall, forget, split or be gone.

Change: internal/quota (no I/O: windows, slices, ceding and borrowing by entries that are never overwritten, breaker), internal/store (go-redis, one transaction a call, no repeats), internal/lab/store and 'cherrygap lab store' (RESP2 by redcon; stall, slow, cut, empty, failover, forget, full, split), rules.Allowed (the module's bucket is then what the lease allows; three lines in rules.go), routing.Config.Quota, [quota] in the operator file.

Not done: units settled afterwards do not go back to the lease; a node that sees nothing of a customer cedes nothing.

--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -14,6 +14,7 @@
 	"cherrygap/internal/duties"
 	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
+	"cherrygap/internal/quota"
 	"cherrygap/internal/settings"
 	"cherrygap/internal/transport"
 )
@@ -41,8 +42,9 @@
 	odd   error // why the known list can't be read, at a start
 	set   map[string]string
 	watch map[string]string // settings to watch, from the operator file; nil for none
-	share operator.Duties   // from the operator file
-	level zerolog.Level     // from the operator file; the zero value is debug, so serve sets it
+	share operator.Duties   // from the operator file, and
+	quota operator.Quota
+	level zerolog.Level // from the operator file; the zero value is debug, so serve sets it
 }
 
 // errKnown is a known list that can't be read, in a file that is good otherwise.
@@ -114,7 +116,7 @@
 // take writes the operator file's settings over the platform's, and sets what is watched. Without any given it
 // changes nothing but the level of the log.
 func (c *config) take(op operator.File) (err error) {
-	c.level, c.share = logLevel(op.Log.Level), op.Duties
+	c.level, c.share, c.quota = logLevel(op.Log.Level), op.Duties, op.Quota
 	if c.set, err = op.Settings.Over(c.set); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -139,7 +141,8 @@
 		}
 		move(next.named) // over GW_DISCOVERY too, which is of the start
 	}
-	next.set, next.watch, next.share, next.level = c.set, c.watch, c.share, c.level // what the node runs by until it restarts
+	// What the node runs by until it restarts.
+	next.set, next.watch, next.share, next.quota, next.level = c.set, c.watch, c.share, c.quota, c.level
 	return next, nil
 }
 
@@ -174,3 +177,18 @@
 	return duties.Config{Me: int(figure("node")), Nodes: len(c.Peers), Seed: c.seed, Take: figure("peers.take"),
 		Bytes: c.share.Bytes, Every: time.Duration(c.share.CheckMs * float64(time.Millisecond))}
 }
+
+// leases is what leased quotas are told at the start.
+func (c *config) leases() quota.Config {
+	contract := time.Duration(0)
+	count, _ := strconv.Atoi(c.set["band.count"])
+	for i := range count {
+		v, _ := strconv.ParseInt(c.set[fmt.Sprintf("band.%d.contract", i)], 10, 64) // in tenths of a millisecond
+		if d := time.Duration(v) * 100 * time.Microsecond; contract == 0 || d < contract {
+			contract = d
+		}
+	}
+	me, _ := strconv.Atoi(c.set["node"])
+	nodes, _ := strconv.Atoi(c.set["nodes"])
+	return quota.Config{Me: me, Nodes: nodes, Seed: c.seed, Calls: c.quota.Calls, Wait: quota.Wait(contract)}
+}
--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -18,13 +18,14 @@
 	"cherrygap/internal/lab/load"
 	"cherrygap/internal/lab/model"
 	"cherrygap/internal/lab/report"
+	"cherrygap/internal/lab/store"
 	"cherrygap/internal/operator"
 )
 
 // newLab is the laboratory's commands. Each reads the operator file's [lab] part; flags hold over it.
 func newLab(opFile *string) *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "The laboratory: emulated app servers and open-loop load, on loopback only"}
-	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile), newDuties(opFile), newReport())
+	lab.AddCommand(newEmulate(opFile), newLoad(opFile), newModel(opFile), newDuties(opFile), newStore(opFile), newReport())
 	return lab
 }
 
@@ -320,3 +321,46 @@
 	cmd.Flags().Float64Var(&cfg.Take, "take", 40, "messages a second that a node takes in, of all kinds")
 	return cmd
 }
+
+func newStore(opFile *string) *cobra.Command {
+	var listen, schedule string
+	var seed uint64
+	var runFor time.Duration
+	cmd := &cobra.Command{
+		Use:   "store",
+		Short: "Run a stand-in for a shared store that speaks Redis's protocol, with scripted faults",
+		Long: `Run a store on loopback that speaks RESP2 (the few commands that leased quotas use) until SIGINT/SIGTERM or
+--for, with the faults of a schedule file: stall, slow, cut, empty, failover, forget, full, split
+(docs/quota.md). Prints one JSON line with its address, and at the end one with the commands it carried out.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			op, err := loadOperator(*opFile)
+			if err != nil {
+				return err
+			}
+			override(cmd, "seed", &op.Lab.Seed, seed)
+			var faults []store.Fault
+			if schedule != "" {
+				if faults, err = store.LoadSchedule(schedule); err != nil {
+					return err
+				}
+			}
+			s, err := store.Start(listen, op.Lab.Seed, faults)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			out := json.NewEncoder(cmd.OutOrStdout())
+			_ = out.Encode(map[string]any{"store": s.Addr(), "faults": len(faults)})
+			ctx, stop := untilSignal(runFor)
+			defer stop()
+			<-ctx.Done()
+			return out.Encode(map[string]any{"applied": s.Applied()})
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "loopback address; port 0 for a free one")
+	cmd.Flags().StringVar(&schedule, "schedule", "", "fault schedule file (TOML); empty for none")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of every random draw")
+	cmd.Flags().DurationVar(&runFor, "for", 0, "stop after this long (e.g. 30s); 0 waits for a signal")
+	return cmd
+}
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -22,6 +22,7 @@
 	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/routing"
+	"cherrygap/internal/store"
 	"cherrygap/internal/transport"
 )
 
@@ -101,6 +102,13 @@
 		}
 		cfg.Tell, hear = mail.Tell, mail.Hear
 	}
+	var leased *store.Quotas
+	if c.quota.Store != "" {
+		leased = store.Open(c.quota.Store, c.Name, c.leases(), &log)
+		cfg.Quota = leased
+		go leased.Run()
+		defer leased.Close()
+	}
 	router := routing.New(cfg)
 	var shared *transport.Duties
 	counters := func(message string) {
@@ -111,6 +119,9 @@
 		if shared != nil {
 			e = e.Object("duties", shared)
 		}
+		if leased != nil {
+			e = e.Object("quota", leased)
+		}
 		e.Msg(message)
 	}
 	pool := transport.NewPool(limits, &log, count)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	Settings Shape  `toml:"settings"` // over the platform's settings
 	Watch    Watch  `toml:"watch"`
 	Duties   Duties `toml:"duties"`
+	Quota    Quota  `toml:"quota"`
 	Lab      Lab    `toml:"lab"`
 }
 
@@ -38,6 +39,13 @@
 	Level string `toml:"level"` // debug, info, warn or error
 }
 
+// Quota names a shared store that customers' quotas are leased from (docs/quota.md); without one each node keeps its own
+// buckets.
+type Quota struct {
+	Store string  `toml:"store"` // host:port of a store that speaks Redis's protocol; empty for none
+	Calls float64 `toml:"calls"` // exchanges a second that this node makes at most
+}
+
 // Lab holds the laboratory's defaults; flags of `cherrygap lab ...` hold over them.
 type Lab struct {
 	Seed     uint64   `toml:"seed"` // of every random draw in the lab; the same seed gives the same run
@@ -95,6 +103,7 @@
 	return File{
 		Log:    Log{Level: "info"},
 		Duties: Duties{CheckMs: 5000, Bytes: 4096},
+		Quota:  Quota{Calls: 200},
 		Lab: Lab{Seed: 1,
 			Emulator: Emulator{Listen: "127.0.0.1:0", Servers: 4, Concurrency: 8, Queue: 32, Connections: 64,
 				ServiceMs: 20, Spread: 0.4, HandshakeMs: 2, WarmupS: 10, ColdFactor: 4, IdleS: 30, DrainMs: 2000,
@@ -201,6 +210,10 @@
 	f.Settings.check("settings", bad)
 	f.Watch.Settings.check("watch.settings", bad)
 	within("duties.check_ms", f.Duties.CheckMs, 200, 3.6e6)
+	within("quota.calls", f.Quota.Calls, 1, 1e6)
+	if _, err := netip.ParseAddrPort(f.Quota.Store); f.Quota.Store != "" && err != nil {
+		bad("quota.store", "%q is no address and port: %v", f.Quota.Store, err)
+	}
 	within("duties.bytes", f.Duties.Bytes, 512, 1e6)
 	e := &f.Lab.Emulator
 	loopback("lab.emulator.listen", e.Listen, bad)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cherrygap/internal/protocol"
+	"cherrygap/internal/quota"
 	"cherrygap/rules"
 )
 
@@ -36,16 +37,28 @@
 	// ticket, to Poll it once the call that made the step has returned. Nil where each ticket waits in Pick.
 	Ready func(*Ticket)
 
+	// Quota, when set, leases customers' quotas from the whole fleet's; the module then decides by what it allows. It is
+	// called under the lock and must neither block nor call the Router. Nil: the module's own buckets.
+	Quota Quota
+
 	// What the module has done outside of tickets; called without the lock, one at a time each.
 	Tell  func(peer int, text []byte) // to one node, or to all (below 0)
 	Watch func()                      // ask discovery to go on telling
 	Note  func(text []byte)
 }
 
+// Quota allows this node a part of its customers' quotas.
+type Quota interface {
+	Ask(c quota.Customer, units float64)    // a ticket came, whether it will pass or not
+	Room(c quota.Customer) float64          // units that may pass now
+	Passed(c quota.Customer, units float64) // it passed
+}
+
 // Router drives one module.
 type Router struct {
 	cfg          Config
 	bands, plans map[string]int
+	quotas       []quota.Customer // by plan: rate and depth
 	nodes        int
 	largest      float64 // units of a ticket
 	start        time.Time
@@ -77,6 +90,10 @@
 		bands: names(cfg.Settings, "band"), plans: names(cfg.Settings, "plan"), fleet: newFleet()}
 	set := rules.Settings(cfg.Settings)
 	r.nodes, r.largest = max(1, int(set.Num("nodes"))), set.Num("largest")
+	for i := range len(r.plans) {
+		r.quotas = append(r.quotas, quota.Customer{Rate: set.Num(set.At("plan", i, "rate")),
+			Depth: set.Num(set.At("plan", i, "depth"))})
+	}
 	r.node = rules.New(cfg.Seed, cfg.Settings, r.base)
 	if cfg.Compare != nil {
 		r.node.Watch(cfg.Compare)
@@ -108,7 +125,9 @@
 		switch d.Verb {
 		case rules.Send:
 			if t := r.ticket(d.Ticket); t != nil {
-				t.nth++
+				if t.nth++; t.nth == 0 && r.cfg.Quota != nil {
+					r.cfg.Quota.Passed(t.whose, t.units)
+				}
 				t.settle(Choice{Do: Execute, Nth: t.nth, Server: r.fleet.servers[d.Server],
 					Wait: time.Duration(d.Span) * tenth})
 			}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cherrygap/internal/protocol"
+	"cherrygap/internal/quota"
 )
 
 // hand is a worker that notes what was withdrawn.
@@ -304,3 +305,41 @@
 		t.Error("the messages behind a stuck one were lost")
 	}
 }
+
+// lease is a quota that has so much left.
+type lease struct{ left, asked float64 }
+
+func (l *lease) Ask(_ quota.Customer, units float64)    { l.asked += units }
+func (l *lease) Room(quota.Customer) float64            { return l.left }
+func (l *lease) Passed(c quota.Customer, units float64) { l.left -= units }
+
+// Where quotas are leased the module lets pass what the lease allows: no less for this node's part, no more for its own
+// bucket's depth, and further executions of a ticket take nothing.
+func TestTheModuleDecidesByTheLease(t *testing.T) {
+	set := settingsOf("replayable")
+	set["nodes"], set["plan.0.rate"], set["plan.0.depth"] = "3", "100", "100"
+	l := &lease{left: 3}
+	r := New(Config{Seed: 7, Settings: set, Quota: l, Wake: func(time.Duration) {}, Tell: func(int, []byte) {},
+		Watch: func() {}, Note: func([]byte) {}})
+	r.Listed(listOf(3, protocol.InService), true)
+	ticket, q, passed := r.NewTicket(&hand{}), request, 0
+	q.Spread = 3
+	for k := range 20 {
+		if k == 10 {
+			l.left = 2
+		}
+		ticket.Take(&q, 2*time.Second)
+		c := ticket.Pick()
+		if c.Do != Execute {
+			continue
+		}
+		passed++
+		ticket.Report(End{Outcome: protocol.TurnedAway, Took: time.Millisecond})
+		if c = ticket.Pick(); c.Do == Execute {
+			ticket.Report(End{Outcome: protocol.Completed, Took: time.Millisecond})
+		}
+	}
+	if passed != 5 || l.left != 0 || l.asked != 20 {
+		t.Errorf("%d passed, %v left, %v asked", passed, l.left, l.asked)
+	}
+}
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cherrygap/internal/protocol"
+	"cherrygap/internal/quota"
 	"cherrygap/rules"
 )
 
@@ -51,6 +52,9 @@
 	choice Choice
 	wake   chan struct{} // a choice is there
 	gone   bool
+
+	whose quota.Customer // and what it takes of the quota, where that is leased
+	units float64
 }
 
 const slots = 1 << 16 // the low part of a ticket's number; the rest counts its uses
@@ -110,6 +114,14 @@
 	case <-t.wake:
 	default:
 	}
+	if plan := r.plans[q.Plan]; r.cfg.Quota != nil && plan < len(r.quotas) && r.quotas[plan].Rate > 0 {
+		t.whose, t.units = r.quotas[plan], q.Units
+		t.whose.Key, t.whose.First, t.whose.Spread = q.Customer, q.First, q.Spread
+		r.cfg.Quota.Ask(t.whose, q.Units)
+		r.node.Allowed(q.Customer, plan, q.Spread, q.First, r.cfg.Quota.Room(t.whose))
+	} else {
+		t.whose, t.units = quota.Customer{}, 0
+	}
 	r.node.Take(rules.Arrival{ID: t.id, Band: r.bands[q.Band], Plan: r.plans[q.Plan], Customer: q.Customer,
 		Left: rules.Time(left / tenth), Units: q.Units, Spread: q.Spread, First: q.First})
 	r.leave()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -570,6 +570,9 @@
 	if p.open > 0 && c.out >= max(1, int(math.Round(t.share*float64(p.open)))) {
 		return false, advice
 	}
+	if c.leased { // its level is this node's own already
+		t.share = 1
+	}
 	rate, depth := n.refill(c)
 	if rate <= 0 {
 		return true, 0
--- a/rules/types.go
+++ b/rules/types.go
@@ -331,6 +331,7 @@
 	filled    Time
 	asked     faded // units asked here, a decayed sum
 	out       int
+	leased    bool // its level is what Allowed said, less what passed since
 	ceiling   float64
 	ceilingAt Time
 
@@ -854,6 +855,9 @@
 // refill brings a customer's bucket up to date.
 func (n *Node) refill(c *customer) (rate, depth float64) {
 	p := n.plans[c.plan]
+	if c.leased {
+		return p.rate, p.depth
+	}
 	c.level = min(c.level+p.rate*secs(n.now-c.filled), p.depth)
 	c.filled = n.now
 	return p.rate, p.depth
@@ -889,7 +893,16 @@
 func (n *Node) home(c *customer) int { return (c.first + int(c.key%uint64(c.spread))) % n.nodes }
 
 // homed tells whether a customer's bucket is kept by its home: where not all nodes can hear all.
-func (n *Node) homed(c *customer) bool { return n.wide && c.spread > 1 && n.set.Is("peers") }
+func (n *Node) homed(c *customer) bool {
+	return n.wide && c.spread > 1 && n.set.Is("peers") && !c.leased
+}
+
+// Allowed notes what of a customer's quota this node may use now, by whoever leases it from the whole: its bucket from
+// then on, until told again. It neither refills by itself nor is it divided by this node's part, and no home is asked.
+func (n *Node) Allowed(key uint64, plan, spread, first int, units float64) {
+	c := &n.customers[n.known(key, min(max(plan, 0), len(n.plans)-1), spread, first)]
+	c.leased, c.level, c.filled = true, units, n.now
+}
 
 func (n *Node) recall(t *ticket, k int) {
 	if x := &t.runs[k]; x.out && !x.called && !t.bound && n.set.Is("withdraw") {
