Checks by an external authoriser over gRPC, and a gRPC front, through one Passage for all tickets

Need: partners' tickets are checked by a service that speaks gRPC, and some agents call the node over gRPC; neither may go round the decisions.

Mended on the way: a client that left between the reading of its ticket and the module's taking it was not noticed (client.next called Gone before see called Take, which forgot it); TestClientThatLeavesBeforeItsTicketIsTaken: 20 of 20 ran for nobody without the lines, none with them.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run proto
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -12,3 +12,7 @@
 
 run: build
 	exec bin/cherrygap
+
+# Writes internal/gate/*.pb.go anew; wants protoc, protoc-gen-go v1.36.4 and protoc-gen-go-grpc v1.5.1 on the path.
+proto:
+	protoc --go_out=. --go_opt=module=cherrygap --go-grpc_out=. --go-grpc_opt=module=cherrygap internal/gate/gate.proto
--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"cherrygap/internal/authz"
 	"cherrygap/internal/duties"
 	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
@@ -44,6 +47,8 @@
 	watch map[string]string // settings to watch, from the operator file; nil for none
 	share operator.Duties   // from the operator file, and
 	quota operator.Quota
+	authz operator.Authz
+	grpc  operator.GRPC
 	level zerolog.Level // from the operator file; the zero value is debug, so serve sets it
 }
 
@@ -117,6 +122,7 @@
 // changes nothing but the level of the log.
 func (c *config) take(op operator.File) (err error) {
 	c.level, c.share, c.quota = logLevel(op.Log.Level), op.Duties, op.Quota
+	c.authz, c.grpc = op.Authz, op.GRPC
 	if c.set, err = op.Settings.Over(c.set); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -143,6 +149,7 @@
 	}
 	// What the node runs by until it restarts.
 	next.set, next.watch, next.share, next.quota, next.level = c.set, c.watch, c.share, c.quota, c.level
+	next.authz, next.grpc = c.authz, c.grpc
 	return next, nil
 }
 
@@ -178,17 +185,44 @@
 		Bytes: c.share.Bytes, Every: time.Duration(c.share.CheckMs * float64(time.Millisecond))}
 }
 
-// leases is what leased quotas are told at the start.
-func (c *config) leases() quota.Config {
-	contract := time.Duration(0)
+// bands lists the names and contract times of the module's bands.
+func (c *config) bands() (names []string, contracts []time.Duration) {
 	count, _ := strconv.Atoi(c.set["band.count"])
 	for i := range count {
 		v, _ := strconv.ParseInt(c.set[fmt.Sprintf("band.%d.contract", i)], 10, 64) // in tenths of a millisecond
-		if d := time.Duration(v) * 100 * time.Microsecond; contract == 0 || d < contract {
-			contract = d
-		}
+		names = append(names, c.set[fmt.Sprintf("band.%d.name", i)])
+		contracts = append(contracts, time.Duration(v)*100*time.Microsecond)
+	}
+	return names, contracts
+}
+
+// leases is what leased quotas are told at the start.
+func (c *config) leases() quota.Config {
+	shortest := time.Duration(0)
+	if _, contracts := c.bands(); len(contracts) > 0 {
+		shortest = slices.Min(contracts)
 	}
 	me, _ := strconv.Atoi(c.set["node"])
 	nodes, _ := strconv.Atoi(c.set["nodes"])
-	return quota.Config{Me: me, Nodes: nodes, Seed: c.seed, Calls: c.quota.Calls, Wait: quota.Wait(contract)}
+	return quota.Config{Me: me, Nodes: nodes, Seed: c.seed, Calls: c.quota.Calls, Wait: quota.Wait(shortest)}
+}
+
+// checks is what the check of tickets is told at the start, and the numbers of bands by name. A band that the platform
+// does not name is an error.
+func (c *config) checks() (authz.Config, map[string]int, error) {
+	names, contracts := c.bands()
+	cfg, numbers := authz.Config{Most: c.authz.Most}, map[string]int{}
+	if v, _ := strconv.ParseInt(c.set["advice.most"], 10, 64); c.set["advice"] == "true" {
+		cfg.Advice = time.Duration(v) * 100 * time.Microsecond
+	}
+	for i, name := range names {
+		numbers[name] = i
+		cfg.Bands = append(cfg.Bands, authz.Band{Contract: contracts[i], Open: slices.Contains(c.authz.PassOpen, name)})
+	}
+	for _, name := range c.authz.PassOpen {
+		if _, ok := numbers[name]; !ok {
+			return cfg, nil, fmt.Errorf("authz.pass_open %q: the platform's settings name %s", name, strings.Join(names, ", "))
+		}
+	}
+	return cfg, numbers, nil
 }
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"cherrygap/internal/duties"
+	"cherrygap/internal/gate"
 	"cherrygap/internal/operator"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/routing"
@@ -111,6 +112,7 @@
 	}
 	router := routing.New(cfg)
 	var shared *transport.Duties
+	var checked *gate.Authoriser
 	counters := func(message string) {
 		e := log.Info().Object("counters", count)
 		if c.watch != nil {
@@ -119,6 +121,9 @@
 		if shared != nil {
 			e = e.Object("duties", shared)
 		}
+		if checked != nil {
+			e = e.Object("authz", checked)
+		}
 		if leased != nil {
 			e = e.Object("quota", leased)
 		}
@@ -145,10 +150,39 @@
 	if c.set["roster"] == "ask" {
 		watch.Asked = asked
 	}
-	front, err := transport.Listen(c.Listen, router, pool, limits, &log, count)
+	var check transport.Checker
+	if c.authz.Service != "" {
+		cfg, bands, err := c.checks()
+		if err != nil {
+			return err
+		}
+		if checked, err = gate.Dial(c.authz.Service, cfg, bands); err != nil {
+			return err
+		}
+		defer checked.Close()
+		check = checked
+	}
+	front, err := transport.Listen(c.Listen, router, pool, limits, check, &log, count)
 	if err != nil {
 		return err
 	}
+	drain := func() { front.Drain(acceptFor) }
+	if c.grpc.Listen != "" {
+		methods, err := gate.Methods(c.set)
+		if err != nil {
+			return err
+		}
+		second, err := gate.Listen(c.grpc.Listen, front, methods, uint32(c.grpc.Calls))
+		if err != nil {
+			return err
+		}
+		drain = func() {
+			ended := make(chan struct{})
+			go func() { second.Drain(); close(ended) }()
+			front.Drain(acceptFor)
+			<-ended
+		}
+	}
 	go alarm.Run(router.Tick)
 	go watch.Run()
 	if shared != nil {
@@ -177,7 +211,7 @@
 			log.Info().Str("discovery", c.named).Msg("new configuration")
 		}
 	}
-	front.Drain(acceptFor)
+	drain()
 	counters("stopped")
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,8 @@
 	Watch    Watch  `toml:"watch"`
 	Duties   Duties `toml:"duties"`
 	Quota    Quota  `toml:"quota"`
+	Authz    Authz  `toml:"authz"`
+	GRPC     GRPC   `toml:"grpc"`
 	Lab      Lab    `toml:"lab"`
 }
 
@@ -46,6 +48,19 @@
 	Calls float64 `toml:"calls"` // exchanges a second that this node makes at most
 }
 
+// Authz names an external authoriser (docs/grpc.md) that each ticket is checked by before it is executed.
+type Authz struct {
+	Service  string   `toml:"service"`   // host:port of Envoy's Authorization service; empty for none
+	Most     int      `toml:"most"`      // checks out at once
+	PassOpen []string `toml:"pass_open"` // bands whose tickets pass where no answer comes; others are bounced
+}
+
+// GRPC is the front that takes tickets over gRPC.
+type GRPC struct {
+	Listen string `toml:"listen"` // host:port; empty for none
+	Calls  int    `toml:"calls"`  // under way at once on one connection
+}
+
 // Lab holds the laboratory's defaults; flags of `cherrygap lab ...` hold over them.
 type Lab struct {
 	Seed     uint64   `toml:"seed"` // of every random draw in the lab; the same seed gives the same run
@@ -104,6 +119,8 @@
 		Log:    Log{Level: "info"},
 		Duties: Duties{CheckMs: 5000, Bytes: 4096},
 		Quota:  Quota{Calls: 200},
+		Authz:  Authz{Most: 64},
+		GRPC:   GRPC{Calls: 256},
 		Lab: Lab{Seed: 1,
 			Emulator: Emulator{Listen: "127.0.0.1:0", Servers: 4, Concurrency: 8, Queue: 32, Connections: 64,
 				ServiceMs: 20, Spread: 0.4, HandshakeMs: 2, WarmupS: 10, ColdFactor: 4, IdleS: 30, DrainMs: 2000,
@@ -210,6 +227,13 @@
 	f.Settings.check("settings", bad)
 	f.Watch.Settings.check("watch.settings", bad)
 	within("duties.check_ms", f.Duties.CheckMs, 200, 3.6e6)
+	within("authz.most", float64(f.Authz.Most), 1, 1<<16)
+	within("grpc.calls", float64(f.GRPC.Calls), 1, 1<<16)
+	for key, addr := range map[string]string{"authz.service": f.Authz.Service, "grpc.listen": f.GRPC.Listen} {
+		if _, err := netip.ParseAddrPort(addr); addr != "" && err != nil {
+			bad(key, "%q is no address and port: %v", addr, err)
+		}
+	}
 	within("quota.calls", f.Quota.Calls, 1, 1e6)
 	if _, err := netip.ParseAddrPort(f.Quota.Store); f.Quota.Store != "" && err != nil {
 		bad("quota.store", "%q is no address and port: %v", f.Quota.Store, err)
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -17,6 +17,8 @@
 
 // The answers that the node words itself.
 const (
+	StatusCompleted = http.StatusOK
+	StatusDenied    = http.StatusForbidden
 	StatusBounced   = http.StatusServiceUnavailable
 	StatusBrokenOff = http.StatusBadGateway
 )
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -129,6 +129,24 @@
 	return nil
 }
 
+// Check tells what of a request that another protocol brought could not have come over HTTP/1.1: the words and figures
+// that ReadRequest looks at.
+func (r *Request) Check() error {
+	switch {
+	case r.ID == "" || len(r.ID) > mostWord || strings.ContainsAny(r.ID, " \t") || !plain(r.ID):
+		return errors.New("malformed id")
+	case r.Customer>>customerBits > 0:
+		return errors.New("malformed customer")
+	case !(r.Units >= 0 && r.Units < 1e9) || r.Spread <= 0 || r.First < 0:
+		return errors.New("malformed units or set")
+	case len(r.Body) > MostBody:
+		return errBody
+	case !plain(r.Type) || !plain(r.Key) || len(r.Type)+len(r.Key) > MostHead/2:
+		return errors.New("odd type or key")
+	}
+	return nil
+}
+
 // plain tells whether a header's value can be passed on as it is.
 func plain(s string) bool {
 	return !strings.ContainsFunc(s, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"cherrygap/internal/protocol"
-	"cherrygap/internal/routing"
 )
 
 // client is one connection of a client. One goroutine reads it, so that a client's leaving is noticed while
@@ -21,8 +20,7 @@
 	conn    *net.TCPConn
 	sock    *socket // what it is read by
 	in, out ring
-	ticket  *routing.Ticket
-	work    worker
+	pass    *Passage
 	request protocol.Request
 	lengths protocol.Lengths // of the head being read
 	body    []byte
@@ -55,8 +53,7 @@
 // byte, so that crowds of connections that say nothing cost next to nothing.
 func (c *client) open() {
 	c.todo, c.done = make(chan struct{}, 1), make(chan struct{}, 1)
-	c.work = worker{pool: c.front.pool, router: c.front.router}
-	c.ticket = c.front.router.NewTicket(&c.work)
+	c.pass = c.front.NewPassage()
 	go c.serve()
 }
 
@@ -75,10 +72,10 @@
 	c.in.make(c.front.limits.ring())
 	for c.next() {
 	}
-	if c.ticket != nil {
+	if c.pass != nil {
 		close(c.todo)
 		<-c.done // the last word of serve
-		c.ticket.Free()
+		c.pass.Free()
 	}
 	c.front.gone(c)
 	logEnd(c.front.log, "client", c.conn.RemoteAddr().String(), c.why, c.began, c.tickets)
@@ -102,7 +99,7 @@
 	err, came, gone := c.in.Wait(), time.Now(), false
 	if c.busy {
 		if gone = err != nil && c.owed.Load(); gone {
-			c.ticket.Gone()
+			c.pass.Gone()
 		}
 		<-c.done
 		c.busy = false
@@ -148,9 +145,10 @@
 	if c.request.Own() {
 		return c.health()
 	}
-	if c.ticket == nil {
+	if c.pass == nil {
 		c.open()
 	}
+	c.pass.Begin()
 	c.tickets++
 	c.busy = true
 	c.owed.Store(true)
@@ -240,39 +238,18 @@
 	close(c.done)
 }
 
-// see takes a ticket through its executions to its answer.
+// see takes a ticket to its answer.
 func (c *client) see() {
-	count := c.front.count
 	defer c.front.ids.answered(c.request.ID)
-	count.Taken.Add(1)
-	c.work.fresh()
-	c.ticket.Take(&c.request, c.request.Budget-time.Since(c.came))
-	var a protocol.Answer
-	for a.Status == 0 {
-		switch next := c.ticket.Pick(); next.Do {
-		case routing.Execute:
-			reply, end := c.work.run(next, &c.request)
-			c.ticket.Report(end)
-			if end.Outcome == protocol.Completed {
-				count.Completed.Add(1)
-				a = protocol.Answer{Status: http.StatusOK, Type: reply.Type, Body: reply.Body}
-			}
-		case routing.Bounce:
-			count.Bounced.Add(1)
-			a = protocol.Answer{Status: protocol.StatusBounced, Advice: next.Advice}
-		case routing.BreakOff:
-			count.BrokenOff.Add(1)
-			a = protocol.Answer{Status: protocol.StatusBrokenOff}
-		default:
-			count.Gone.Add(1)
-			return
-		}
+	a, stays := c.pass.Through(&c.request, c.came)
+	if !stays {
+		return
 	}
 	c.owed.Store(false)
 	a.Close = c.request.Close || c.front.draining.Load() || c.front.tight()
 	c.conn.SetWriteDeadline(c.came.Add(c.request.Budget + time.Second))
 	if !c.answer(&a) {
-		count.Unanswered.Add(1)
+		c.front.count.Unanswered.Add(1)
 		c.end(answerBroken)
 	} else if a.Close && c.front.draining.Load() {
 		c.end(nodeDrains)
--- a/internal/transport/ends.go
+++ b/internal/transport/ends.go
@@ -60,6 +60,7 @@
 // Counters count what the node takes in, sends and answers.
 type Counters struct {
 	Conns, Taken, Bad, Completed, Bounced, BrokenOff, Gone, Unanswered atomic.Int64
+	Denied                                                             atomic.Int64
 	Sent, Dialled                                                      atomic.Int64
 	Ends                                                               [protocol.Outcomes]atomic.Int64
 	Lists, ListsBad, Told, ToldFailed, Heard, HeardBad, LinesLost      atomic.Int64
@@ -72,7 +73,7 @@
 		n    *atomic.Int64
 	}{
 		{"connections", &c.Conns}, {"taken", &c.Taken}, {"bad", &c.Bad}, {"completed", &c.Completed},
-		{"bounced", &c.Bounced}, {"broken_off", &c.BrokenOff}, {"gone", &c.Gone}, {"unanswered", &c.Unanswered},
+		{"bounced", &c.Bounced}, {"broken_off", &c.BrokenOff}, {"gone", &c.Gone}, {"denied", &c.Denied}, {"unanswered", &c.Unanswered},
 		{"sent", &c.Sent}, {"dialled", &c.Dialled}, {"lists", &c.Lists}, {"lists_bad", &c.ListsBad},
 		{"told", &c.Told}, {"told_failed", &c.ToldFailed}, {"heard", &c.Heard}, {"heard_bad", &c.HeardBad},
 		{"lines_lost", &c.LinesLost},
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -17,6 +17,7 @@
 	router *routing.Router
 	pool   *Pool
 	limits Limits
+	check  Checker
 	log    *zerolog.Logger
 	count  *Counters
 
@@ -32,14 +33,14 @@
 	evicted  bool // one is being evicted
 }
 
-// Listen starts to take in clients.
-func Listen(addr string, router *routing.Router, pool *Pool, limits Limits, log *zerolog.Logger,
+// Listen starts to take in clients. Their tickets are checked by check, if there is one.
+func Listen(addr string, router *routing.Router, pool *Pool, limits Limits, check Checker, log *zerolog.Logger,
 	count *Counters) (*Front, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	f := &Front{router: router, pool: pool, limits: limits, log: log, count: count, ln: ln.(*net.TCPListener),
+	f := &Front{router: router, pool: pool, limits: limits, check: check, log: log, count: count, ln: ln.(*net.TCPListener),
 		ids: newIDs(), slots: make(chan struct{}, limits.side()), clients: map[*client]struct{}{}}
 	f.open.Add(1)
 	go f.accept()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -107,7 +107,7 @@
 	go alarm.Run(router.Tick)
 	router.Listed(list, true)
 	b.pool = NewPool(limits, &log, b.count)
-	if b.front, err = Listen("127.0.0.1:0", router, b.pool, limits, &log, b.count); err != nil {
+	if b.front, err = Listen("127.0.0.1:0", router, b.pool, limits, nil, &log, b.count); err != nil {
 		t.Fatal(err)
 	}
 	return b
@@ -433,6 +433,29 @@
 	eventually(t, "the ends", func() bool { return b.log.has(string(clientGone)) && b.log.has(string(withdrawn)) })
 }
 
+// A client that leaves before the module knows of its ticket: nothing runs for nobody.
+func TestClientThatLeavesBeforeItsTicketIsTaken(t *testing.T) {
+	ran := atomic.Int64{}
+	b := start(t, "single-use", roomy, 1, func(conn net.Conn, q *http.Request) bool {
+		ran.Add(1)
+		return echo(conn, q)
+	})
+	p := b.front.NewPassage()
+	defer p.Free()
+	for k := range 20 {
+		p.Begin()
+		p.Gone()
+		q := protocol.Request{Method: "POST", URI: "/seats/0000000000000005", Host: "a", ID: fmt.Sprint("left", k), Band: "seats",
+			Plan: "team", Customer: 5, Units: 1, Spread: 1, Budget: time.Second}
+		if a, stays := p.Through(&q, time.Now()); stays {
+			t.Errorf("answered %d", a.Status)
+		}
+	}
+	if ran.Load() > 0 || b.count.Gone.Load() != 20 {
+		t.Errorf("%d ran, %d gone", ran.Load(), b.count.Gone.Load())
+	}
+}
+
 func TestSilentServerIsGivenUpInTime(t *testing.T) {
 	told := make(chan string, 1)
 	b := start(t, "single-use", roomy, 1, func(conn net.Conn, q *http.Request) bool {
