A client that left is noticed behind further bytes, before its ticket is taken, during a dial

Ruled out: a leave between two attempts, in Take and in Pick (Ticket.Gone settles the next pick; called stays set in the worker).

Now the reader reads on while its ticket waits; what it reads waits for its turn as far as the ring has room, past that the answer is the connection's last and lingers, so that unread bytes don't reset it. The connection is looked at once more before a ticket is taken. A worker whose client left begins nothing more, whatever may be withdrawn.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -29,12 +29,16 @@
 	tickets int
 	busy    bool // a ticket was handed over
 	leaves  bool // evicted; under the front's lock
+	held    bool // it waited for a slot, and its first request with it
 
 	todo   chan struct{} // a request is there
 	done   chan struct{} // it has been seen to
 	owed   atomic.Bool   // a ticket is open
 	idle   atomic.Bool   // between requests, or before the first is whole: who sets it to false may close
 	asked  atomic.Bool   // it has sent a whole request
+	half   atomic.Bool   // the first bytes of its first request are there
+	onward atomic.Bool   // its ticket waits, and its reader reads what it sent behind it
+	flood  atomic.Bool   // that was more than waits for its turn: the answer is its last
 	idleAt atomic.Int64
 	ending sync.Once
 	why    reason
@@ -98,12 +102,25 @@
 func (c *client) next() bool {
 	err, came, gone := c.in.Wait(), time.Now(), false
 	if c.busy {
+		if err == nil {
+			err = c.readOn()
+		}
 		if gone = err != nil && c.owed.Load(); gone {
 			c.pass.Gone()
 		}
 		<-c.done
 		c.busy = false
+		if c.onward.CompareAndSwap(true, false) {
+			c.conn.SetReadDeadline(time.Time{}) // serve may have let it pass
+		}
+		if c.flood.Load() && (err == nil || timedOut(err)) {
+			return c.linger()
+		}
+	}
+	if c.held { // its time ran while it waited for a slot
+		came, c.held = c.began, false
 	}
+	c.half.Store(err == nil)
 	// Until its first request is whole a client may be closed for others: half of one must hold no slot.
 	if c.asked.Load() && !c.idle.CompareAndSwap(true, false) {
 		return false // closed meanwhile
@@ -142,6 +159,13 @@
 		return c.refuse(err)
 	}
 	c.asked.Store(true)
+	if !c.request.Own() && c.left() { // it waited unread until its client had gone: it runs for nobody
+		c.front.count.Taken.Add(1)
+		c.front.count.Gone.Add(1)
+		c.front.ids.answered(c.request.ID)
+		c.end(leaving(c.in.err, clientGone))
+		return false
+	}
 	if c.request.Own() {
 		return c.health()
 	}
@@ -156,6 +180,49 @@
 	return true
 }
 
+// left tells whether the client has closed its connection by now, be it behind further bytes.
+func (c *client) left() bool {
+	for c.in.err == nil && !c.sock.silent() {
+		c.makeRoom()
+		c.in.More()
+	}
+	return c.in.err != nil
+}
+
+// readOn reads what a client sends while its ticket waits, as its leaving shows only behind that. It returns once the
+// ticket waits no more, with the connection's end if that came first. It guards against tickets that are executed
+// for clients which sent more than one request and left.
+func (c *client) readOn() error {
+	c.onward.Store(true) // serve wakes it
+	for c.owed.Load() {
+		c.makeRoom()
+		if err := c.in.More(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// makeRoom lets the client send more. What it has sent behind its request waits for its turn as far as there is room;
+// past that nothing of it is a request any more, and the connection ends with its answer.
+func (c *client) makeRoom() {
+	if c.in.full() {
+		c.flood.Store(true)
+		c.in.drop()
+	}
+}
+
+// linger lets a client whose connection ends take its answer in: bytes that nobody reads would reset it.
+func (c *client) linger() bool {
+	c.conn.SetReadDeadline(time.Now().Add(lingerFor))
+	c.conn.CloseWrite()
+	c.asked.Store(false) // from here on it may be closed for others
+	c.idle.Store(true)
+	io.CopyN(io.Discard, c.conn, protocol.MostBody)
+	c.end(clientBad)
+	return false
+}
+
 // Read, Allow, Lengths and Continue are what a request is read by.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.in.Read(p)
@@ -192,14 +259,9 @@
 		c.end(leaving(c.in.err, clientBroken))
 		return false
 	}
-	c.conn.SetDeadline(time.Now().Add(lingerFor))
+	c.conn.SetWriteDeadline(time.Now().Add(lingerFor))
 	c.answer(&protocol.Answer{Status: bad.Status, Close: true})
-	c.conn.CloseWrite()
-	c.asked.Store(false) // from here on it may be closed for others
-	c.idle.Store(true)
-	io.CopyN(io.Discard, c.conn, protocol.MostBody) // or a reset would overtake the answer
-	c.end(clientBad)
-	return false
+	return c.linger()
 }
 
 // health tells whether the node can take tickets.
@@ -232,7 +294,12 @@
 func (c *client) serve() {
 	for range c.todo {
 		c.see()
-		c.rest()
+		if c.onward.Load() || c.flood.Load() {
+			c.conn.SetReadDeadline(time.Unix(1, 0)) // it reads on no more
+		}
+		if !c.flood.Load() {
+			c.rest()
+		}
 		c.done <- struct{}{}
 	}
 	close(c.done)
@@ -246,11 +313,12 @@
 		return
 	}
 	c.owed.Store(false)
-	a.Close = c.request.Close || c.front.draining.Load() || c.front.tight()
+	a.Close = c.request.Close || c.front.draining.Load() || c.front.tight() || c.flood.Load()
 	c.conn.SetWriteDeadline(c.came.Add(c.request.Budget + time.Second))
 	if !c.answer(&a) {
 		c.front.count.Unanswered.Add(1)
 		c.end(answerBroken)
+	} else if c.flood.Load() { // its reader ends it
 	} else if a.Close && c.front.draining.Load() {
 		c.end(nodeDrains)
 	} else if a.Close && !c.request.Close {
--- a/internal/transport/passage.go
+++ b/internal/transport/passage.go
@@ -52,6 +52,7 @@
 		p.cancel()
 	}
 	p.mu.Unlock()
+	p.work.leave()
 	p.ticket.Gone()
 }
 
@@ -75,6 +76,7 @@
 	p.work.fresh()
 	p.ticket.Take(q, q.Budget-time.Since(came))
 	if p.gone() { // before the module knew of the ticket
+		p.work.leave()
 		p.ticket.Gone()
 	}
 	for {
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -91,6 +91,23 @@
 	return n, nil
 }
 
+// More reads once behind what is there, which must leave room, and tells of an end; a deadline that passes is none.
+func (g *ring) More() error {
+	if g.err == nil {
+		g.fill()
+	}
+	if timedOut(g.err) {
+		g.err = nil
+	}
+	return g.err
+}
+
+// full tells whether nothing more can be read before something is taken out.
+func (g *ring) full() bool { return g.w-g.r >= len(g.buf)-lookahead }
+
+// drop forgets what is there.
+func (g *ring) drop() { g.r = g.w }
+
 // Allow sets how much a message may take from now on.
 func (g *ring) Allow(bytes int) { g.allowed = bytes }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
 	"net/http"
@@ -62,6 +63,13 @@
 
 // start starts a node; each app server answers by serve, which tells whether its connection stays.
 func start(t *testing.T, repeats string, limits Limits, servers int, serve func(net.Conn, *http.Request) bool) *bench {
+	t.Helper()
+	return startWith(t, nil, repeats, limits, servers, serve)
+}
+
+// startWith starts a node under further settings.
+func startWith(t *testing.T, more map[string]string, repeats string, limits Limits, servers int,
+	serve func(net.Conn, *http.Request) bool) *bench {
 	t.Helper()
 	b := &bench{count: &Counters{}, log: &lines{}}
 	log := zerolog.New(b.log)
@@ -97,6 +105,7 @@
 	set := map[string]string{"band.count": "1", "band.0.name": "seats", "band.0.contract": "20000", "band.0.repeats": repeats,
 		"plan.count": "1", "plan.0.name": "team", "nodes": "1", "tick": "20", "executions": "3", "withdraw": "true",
 		"largest": "6"}
+	maps.Copy(set, more)
 	alarm, err := NewAlarm()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -21,6 +21,7 @@
 	mu     sync.Mutex
 	nth    int                // the execution under way, or -1
 	called int                // the last that was withdrawn, or -1
+	left   bool               // the ticket's client went: nothing more begins
 	link   *link              // what it waits on, or
 	cancel context.CancelFunc // its dial
 }
@@ -28,7 +29,7 @@
 // fresh readies the worker for a ticket.
 func (w *worker) fresh() {
 	w.mu.Lock()
-	w.nth, w.called = -1, -1
+	w.nth, w.called, w.left = -1, -1, false
 	w.mu.Unlock()
 	w.body = trim(w.body)
 }
@@ -49,23 +50,34 @@
 	}
 }
 
-// begin notes what the nth execution waits on, unless it was withdrawn.
+// leave lets nothing more begin: the ticket's client went. What has begun is the module's to withdraw, where that is
+// allowed; a dial or a request that is not whole yet is given up in any case, as it has not run.
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = true
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// begin notes what the nth execution waits on, unless it was withdrawn or its client left.
 func (w *worker) begin(nth int, l *link, cancel context.CancelFunc) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.called == nth {
+	if w.called == nth || w.left {
 		return false
 	}
 	w.nth, w.link, w.cancel = nth, l, cancel
 	return true
 }
 
-// end tells whether the execution was withdrawn; from here on it can't be.
-func (w *worker) end() bool {
+// end tells whether the execution was withdrawn, or its client left; from here on it can't be.
+func (w *worker) end() (called, left bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.link, w.cancel = nil, nil
-	return w.called == w.nth
+	return w.called == w.nth, w.left
 }
 
 // run carries out an execution.
@@ -89,7 +101,7 @@
 		var err error
 		l, err = w.pool.dial(ctx, c.Server)
 		// What this node lacks says nothing of the server, which would rest for it.
-		if called := w.end(); err != nil && (called || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
+		if called, left := w.end(); err != nil && (called || left || errors.Is(err, errFull) || errors.Is(err, syscall.EMFILE)) {
 			return nil, protocol.Unsent
 		}
 		if err != nil {
@@ -97,7 +109,7 @@
 		}
 	}
 	l.conn.SetDeadline(until)
-	// A dial takes time, in which the server may have begun to drain, or the execution been withdrawn.
+	// A dial takes time, in which the server may have begun to drain, or the execution been withdrawn, or its client left.
 	if !w.router.MayStart(c.Server) || !w.begin(c.Nth, l, nil) {
 		w.pool.put(l)
 		return nil, protocol.Unsent
@@ -120,8 +132,8 @@
 		if w.send(l, until) {
 			break
 		}
-		switch called := w.end(); { // not whole: it never ran
-		case called:
+		switch called, left := w.end(); { // not whole: it never ran
+		case called || left:
 			w.pool.end(l, withdrawn)
 			return protocol.Reply{Outcome: protocol.Unsent}
 		case l.used > 0: // it had died since its last answer, and says nothing of the server
@@ -149,7 +161,7 @@
 	if reply.Body != nil {
 		w.body = reply.Body
 	}
-	called := w.end()
+	called, _ := w.end()
 	switch {
 	case err == nil && (reply.Close || l.in.r != l.in.w):
 		w.pool.end(l, serverLast)
@@ -184,7 +196,7 @@
 	l.conn.SetReadDeadline(time.Now().Add(breakWithin))
 	broken := l.sock.ready() // an answer that comes early is left for its reader
 	w.mu.Lock()
-	called := w.called == w.nth
+	called := w.called == w.nth || w.left
 	if !called { // else the deadline is past, and stays so
 		l.conn.SetDeadline(until)
 	}
