Drain reads what has come before it closes: backlog, idle connections, those that wait for a slot

Refuted: a ticket at a hanging app server ends within its outer limit, and the drain with it (test kept).

Now the listener gets a deadline; past it accept looks on (2 ms a look, 0.1 s at most) until two looks find nobody, then closes. Idle connections are closed every 10 ms, but not while bytes wait unread (MSG_PEEK beside the reader), while a first request is under way (2 s at most), nor in the first 0.1 s of a connection. A ticket's time counts from accept where its connection waited for a slot. What is left is the crossing that the protocol allows: bytes that come between the look and the close.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -27,9 +27,9 @@
 	came    time.Time // when the request's first byte was read
 	began   time.Time
 	tickets int
-	busy    bool // a ticket was handed over
-	leaves  bool // evicted; under the front's lock
-	held    bool // it waited for a slot, and its first request with it
+	busy    bool      // a ticket was handed over
+	leaves  bool      // evicted; under the front's lock
+	held    time.Time // it waited for a slot since, and its first request with it; zero: it did not
 
 	todo   chan struct{} // a request is there
 	done   chan struct{} // it has been seen to
@@ -92,9 +92,6 @@
 	if c.front.crowded.Load() {
 		c.front.evict()
 	}
-	if c.front.closing.Load() && c.idle.CompareAndSwap(true, false) { // fell idle after the others were closed
-		c.end(nodeDrains)
-	}
 }
 
 // next waits for a request, takes it in, and tells whether there may be another. While a ticket is open it
@@ -117,8 +114,8 @@
 			return c.linger()
 		}
 	}
-	if c.held { // its time ran while it waited for a slot
-		came, c.held = c.began, false
+	if !c.held.IsZero() { // its time ran while it waited for a slot
+		came, c.held = c.held, time.Time{}
 	}
 	c.half.Store(err == nil)
 	// Until its first request is whole a client may be closed for others: half of one must hold no slot.
@@ -218,7 +215,7 @@
 	c.conn.CloseWrite()
 	c.asked.Store(false) // from here on it may be closed for others
 	c.idle.Store(true)
-	io.CopyN(io.Discard, c.conn, protocol.MostBody)
+	io.Copy(io.Discard, c.conn) // until it closes, or its time is over
 	c.end(clientBad)
 	return false
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -26,6 +26,7 @@
 	slots    chan struct{} // one for each connection there may be, beside one that waits
 	draining atomic.Bool   // answers close their connections
 	closing  atomic.Bool   // idle connections are closed
+	shut     chan struct{} // accept has taken in all that had come
 	crowded  atomic.Bool   // accept waits for a connection to end
 	open     sync.WaitGroup
 	mu       sync.Mutex
@@ -41,7 +42,8 @@
 		return nil, err
 	}
 	f := &Front{router: router, pool: pool, limits: limits, check: check, log: log, count: count, ln: ln.(*net.TCPListener),
-		ids: newIDs(), slots: make(chan struct{}, limits.side()), clients: map[*client]struct{}{}}
+		ids: newIDs(), slots: make(chan struct{}, limits.side()), clients: map[*client]struct{}{},
+		shut: make(chan struct{})}
 	f.open.Add(1)
 	go f.accept()
 	return f, nil
@@ -51,16 +53,34 @@
 // longest makes room, which may ask again on a new connection; the rest wait in the kernel.
 func (f *Front) accept() {
 	defer f.open.Done()
-	for {
+	defer close(f.shut)
+	var last time.Time // the door closes: nobody is taken in from then on
+	for looks := 0; ; {
+		// What stands before the door when it closes would be reset, so it is taken in first. Past its deadline a
+		// listener is not even asked, so each look has a short one of its own, until two find nobody.
+		if !last.IsZero() {
+			f.ln.SetDeadline(earlier(last, time.Now().Add(lastLook)))
+		}
 		conn, err := f.ln.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if timedOut(err) {
+			if last.IsZero() {
+				last = time.Now().Add(askWithin)
+			} else if looks++; looks > 1 {
+				f.ln.Close()
+				return
+			}
+			continue
+		}
+		looks = 0
 		if err != nil { // none of our own making; never a reason to stop
 			f.log.Warn().Err(err).Msg("accept failed")
 			time.Sleep(againSoon)
 			continue
 		}
+		came, waited := time.Now(), false
 		select {
 		case f.slots <- struct{}{}:
 		default:
@@ -68,9 +88,13 @@
 			f.evict()
 			f.slots <- struct{}{}
 			f.crowded.Store(false)
+			waited = true
 		}
 		f.count.Conns.Add(1)
 		c := newClient(f, conn)
+		if waited {
+			c.held = came
+		}
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
 		f.mu.Unlock()
@@ -122,21 +146,48 @@
 // that ask once and stay, one that may go again keeps nobody out. Calm days are far below it.
 func (f *Front) tight() bool { return 2*len(f.slots) > cap(f.slots) }
 
-// Drain answers what comes with a close, goes on accepting for a while, then closes what is idle and
-// returns once every client has its answer.
+// Drain answers what comes with a close, goes on accepting for a while, takes in what stands before the door, then
+// closes what is idle, and returns once every client has its answer.
 func (f *Front) Drain(accept time.Duration) {
 	f.draining.Store(true)
-	time.Sleep(accept)
-	f.ln.Close()
-	f.closing.Store(true)
+	f.ln.SetDeadline(time.Now().Add(accept))
+	select {
+	case <-f.shut:
+	case <-time.After(accept + 2*askWithin): // it waits for a slot
+		f.ln.Close()
+	}
+	empty := make(chan struct{})
+	go func() { f.open.Wait(); close(empty) }()
+	for f.closing.Store(true); ; {
+		f.letGo()
+		select {
+		case <-empty:
+			return
+		case <-time.After(askWithin / 10):
+		}
+	}
+}
+
+// letGo closes the connections that are idle, but for those with a request on the way: one that has only come has its
+// time to ask, one whose first request has begun may finish it, and where bytes wait unread they are read first.
+func (f *Front) letGo() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for c := range f.clients {
+		if !c.idle.Load() || !c.asked.Load() && (c.half.Load() || time.Since(c.began) < askWithin) || unread(c.conn) {
+			continue
+		}
 		if c.idle.CompareAndSwap(true, false) {
 			c.end(nodeDrains)
 		}
 	}
-	f.mu.Unlock()
-	f.open.Wait()
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 func (f *Front) gone(c *client) {
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -19,6 +19,7 @@
 const (
 	messageBy   = 2 * time.Second        // for the first message from the connection on, for others from their begin
 	askWithin   = 100 * time.Millisecond // for the first byte of the first, before others' needs go first
+	lastLook    = 2 * time.Millisecond   // for who stands before a door that closes
 	breakWithin = 3 * time.Millisecond   // in which a connection that has died shows it, once written to
 	lingerFor   = 250 * time.Millisecond // for who was refused to take the answer in
 )
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -64,6 +64,16 @@
 	return s.raw.Read(s.look) == nil && s.quiet
 }
 
+// unread tells whether bytes, or an end, wait on a connection that another goroutine reads.
+func unread(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	s := socket{}
+	return raw.Control(func(fd uintptr) { s.tryLook(fd) }) == nil && !s.quiet
+}
+
 func (s *socket) tryRead(fd uintptr) bool {
 	n, err := call(syscall.SYS_READ, fd, s.p, 0)
 	if err == syscall.EAGAIN {
