Signals are heeded from the first line on, one of each kind, and SIGHUP during a drain too

Seen by reading: - signal.Notify came after the configuration was read: a SIGHUP before it ends the process by Go's default, which is a crash. - one channel of four for all kinds: with four SIGUSR1 or SIGHUP waiting a SIGTERM was dropped, and the node never drained. - after SIGTERM nobody read the channel: a SIGHUP that moved discovery during the drain was dropped, while open tickets may be sent on for their whole outer limit by a list that no one brings up to date. - a file whose known list can't be read was refused on SIGHUP, though the start takes it: discovery did not move.

Now main heeds signals before it reads anything (where the command line starts a node; the laboratory's commands keep Go's defaults), each kind in a channel of one, and the loop goes on through the drain. The node accepts for 0.5 s after SIGTERM in place of 0.4: clients may come up to 0.4 s after, and one that comes at the very end was refused by chance. The window that is left is that of Go's own start (2 ms).

--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -55,8 +55,9 @@
 // errKnown is a known list that can't be read, in a file that is good otherwise.
 var errKnown = errors.New("known")
 
-// startConfig reads the file for a start. A known list that can't be read is what discovery told once and would tell
-// again: the node starts as one that knows nothing, and says so, rather than not at all.
+// startConfig reads the file for a start, or on SIGHUP. A known list that can't be read is what discovery told once and
+// would tell again: the node starts as one that knows nothing, and says so, rather than not at all; one that runs does
+// not use it.
 func startConfig() (*config, error) {
 	c, err := readConfig()
 	if c != nil && errors.Is(err, errKnown) {
@@ -135,9 +136,9 @@
 }
 
 // reload reads the file again, whole, and carries out what may change while the node runs: discovery's address.
-// A file that can't be read, or is no good anywhere, changes nothing.
+// A file that can't be read, or is no good anywhere but in its known list, changes nothing.
 func (c *config) reload(move func(addr string)) (*config, error) {
-	next, err := readConfig()
+	next, err := startConfig()
 	if err != nil {
 		return c, err
 	}
--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,7 +29,7 @@
 )
 
 const (
-	acceptFor = 400 * time.Millisecond // after SIGTERM
+	acceptFor = 500 * time.Millisecond // after SIGTERM: clients may come for 0.4 s
 	heapPart  = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
 	logLines  = 1000                   // that wait to be written,
 	lastLines = 200 * time.Millisecond // and for so long at the end
@@ -37,8 +38,30 @@
 
 func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs } // the library's, for the whole process
 
+// signals are those that the node heeds, one waiting of each kind: of many at once none is lost for another.
+type signals struct{ term, hup, count chan os.Signal }
+
+// heed begins to heed signals: before anything is read, or one that comes early would end the process.
+var heed = sync.OnceValue(func() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.term, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.hup, syscall.SIGHUP)
+	signal.Notify(s.count, syscall.SIGUSR1)
+	return s
+})
+
+// serves tells whether a command line starts a node.
+func serves(root *cobra.Command, args []string) bool {
+	cmd, _, err := root.Find(args)
+	return err == nil && (cmd == root || cmd.Name() == "serve")
+}
+
 func main() {
-	if err := newRoot().Execute(); err != nil {
+	root := newRoot()
+	if serves(root, os.Args[1:]) {
+		heed()
+	}
+	if err := root.Execute(); err != nil {
 		if !errors.Is(err, errShown) {
 			fmt.Fprintln(os.Stderr, "cherrygap:", err)
 		}
@@ -76,9 +99,6 @@
 	}()
 	log := zerolog.New(out).Level(c.level).With().Timestamp().Str("node", c.Name).Logger()
 	limits := c.limits()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-
 	asked := make(chan struct{}, 1)
 	alarm, err := transport.NewAlarm()
 	if err != nil {
@@ -189,23 +209,28 @@
 	})
 	router.Tick()
 	log.Info().Str("listen", c.Listen).Msg("started")
-	for s := range signals {
-		if s == syscall.SIGUSR1 {
+	drained := make(chan struct{})
+	for s := heed(); ; {
+		select {
+		case <-s.count:
 			counters("counters")
-			continue
-		}
-		if s != syscall.SIGHUP {
-			break
-		}
-		if c, err = c.reload(watch.Move); err != nil {
-			log.Error().Err(err).Msg("new configuration refused")
-		} else {
+		case <-s.hup: // while it drains too: what is open may still be sent on
+			if c, err = c.reload(watch.Move); err != nil {
+				log.Error().Err(err).Msg("new configuration refused")
+				continue
+			}
+			if c.odd != nil {
+				log.Warn().Err(c.odd).Msg("known list refused")
+			}
 			log.Info().Str("discovery", c.named).Msg("new configuration")
+		case <-s.term:
+			s.term = nil // once
+			go func() { drain(); close(drained) }()
+		case <-drained:
+			counters("stopped")
+			return nil
 		}
 	}
-	drain()
-	counters("stopped")
-	return nil
 }
 
 // authoriser checks tickets, and counts.
