Test of shared checks writes its first times under its lock

Seen: under -race TestSharedChecksSurviveTheirOwners failed twice in five plays of the whole package: last[k] was written after the server's goroutine began, with no order but the network's to the handler that reads it.

--- a/internal/transport/duty_test.go
+++ b/internal/transport/duty_test.go
@@ -47,7 +47,9 @@
 			checks[k]++
 			mu.Unlock()
 		}))
+		mu.Lock() // the network is no order that the race detector sees
 		last[k] = time.Now()
+		mu.Unlock()
 		list.Targets = append(list.Targets, protocol.Target{UID: fmt.Sprint(k), Weight: 1,
 			Endpoint: netip.MustParseAddrPort(ln.Addr().String())})
 	}
