A second answer never passes for the next ticket's; connections that come back are looked at

Forced: a single-use ticket was completed with the body "stale". Its window was 2 to 5 ms after an answer. Refuted, by reading with the tests that stand: a withdrawal between end and the next connect (called stays set, begin refuses); a retry of a single-use ticket after a reset behind its last byte (Broken may have run; further refuses); two copies out (the connection is closed before the end is reported); answers that never end (the execution's deadline is absolute, 272 KiB at most).

Now such bytes end the connection and the ticket goes over another, without distrust of idle ones; a connection rests 10 ms after an answer in place of 2, twice what the probe saw. An answer that comes later than that can't be told from the next one's.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -17,8 +17,8 @@
 // that no execution is written to one that its server closes at that moment and so may have run.
 const retireAt = 0.8
 
-// settleFor is how long a connection stays out of use after an answer.
-const settleFor = 2 * time.Millisecond
+// settleFor is how long a connection stays out of use after an answer: twice as long as a second one was seen to take.
+const settleFor = 10 * time.Millisecond
 
 // A connection that breaks so soon after a request was written had died before; it is remembered for a while.
 const (
@@ -34,8 +34,9 @@
 	server  *routing.Server
 	in, out ring
 	began   time.Time
-	idleAt  time.Time
+	idleAt  time.Time // since when it carries nothing, as its server's clock has it
 	used    int
+	rested  int // its uses when it was last put back
 }
 
 // Pool keeps the connections to app servers, for each a stack of idle ones. They are of a server, not of an
@@ -51,6 +52,8 @@
 	timer *time.Timer
 	armed bool
 
+	serves func(*routing.Server) bool // as of the last list; nil before any
+
 	wary  time.Time     // until then
 	trust time.Duration // what has been idle for so long is not used
 }
@@ -128,9 +131,9 @@
 		return nil, err
 	}
 	conn := c.(*net.TCPConn)
-	size, sock := p.limits.ring(), newSocket(conn)
+	size, sock, now := p.limits.ring(), newSocket(conn), time.Now()
 	return &link{conn: conn, sock: sock, server: s, in: newRing(conn, sock, size),
-		out: newRing(conn, newSocket(conn), size), began: time.Now()}, nil
+		out: newRing(conn, newSocket(conn), size), began: now, idleAt: now}, nil
 }
 
 // sound tells whether an idle connection can be used. It guards against servers that closed it, where an
@@ -140,11 +143,18 @@
 	return l.in.r == l.in.w && l.sock.silent()
 }
 
-// put takes a connection back.
+// put takes a connection back. One that carried nothing since it was taken has been idle all along: its server's clock
+// has run on. One whose server went out of service meanwhile is closed: no later sweep would find its stack.
 func (p *Pool) put(l *link) {
-	l.idleAt = time.Now()
+	if l.used > l.rested {
+		l.idleAt, l.rested = time.Now(), l.used
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.serves != nil && !p.serves(l.server) {
+		p.drop(l, serverDropped)
+		return
+	}
 	p.idle[l.server] = append(p.idle[l.server], l)
 	if p.limits.Idle > 0 && !p.armed {
 		p.armed = true
@@ -214,10 +224,11 @@
 	}
 }
 
-// Keep closes what is idle to servers that are not in service any more.
+// Keep closes what is idle to servers that are not in service any more, from now on as it comes back.
 func (p *Pool) Keep(inService func(*routing.Server) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.serves = inService
 	for s, stack := range p.idle {
 		if !inService(s) {
 			for _, l := range stack {
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -50,13 +50,13 @@
 	return len(p), nil
 }
 
-// ready waits until there is something to read or the connection ended, and tells whether it ended.
-func (s *socket) ready() (ended bool) {
+// ready waits until there is something to read or the connection ended, and tells which.
+func (s *socket) ready() (some, ended bool) {
 	err := s.raw.Read(func(fd uintptr) bool {
 		s.tryLook(fd)
 		return !s.quiet
 	})
-	return err == nil && s.ended
+	return err == nil && !s.ended, err == nil && s.ended
 }
 
 // silent tells whether the connection is open with nothing to read.
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -90,10 +90,12 @@
 }
 
 // connect finds a connection to the choice's server, kept or new; without one it tells how the execution ended.
-func (w *worker) connect(c routing.Choice, until time.Time) (*link, protocol.Outcome) {
+// All dials of an execution end by a time: what repeats a referenced ticket has to be whole within a window, and the
+// module leaves the time of one dial for that.
+func (w *worker) connect(c routing.Choice, until, up time.Time) (*link, protocol.Outcome) {
 	l := w.pool.take(c.Server)
 	if l == nil {
-		ctx, cancel := context.WithDeadline(context.Background(), until)
+		ctx, cancel := context.WithDeadline(context.Background(), up)
 		defer cancel()
 		if !w.begin(c.Nth, nil, cancel) {
 			return nil, protocol.Unsent
@@ -119,9 +121,10 @@
 
 func (w *worker) try(c routing.Choice, q *protocol.Request, until time.Time) protocol.Reply {
 	var l *link
+	up := earlier(until, time.Now().Add(w.pool.limits.Connect))
 	for fresh := 0; ; {
 		var o protocol.Outcome
-		if l, o = w.connect(c, until); l == nil {
+		if l, o = w.connect(c, until, up); l == nil {
 			return protocol.Reply{Outcome: o}
 		}
 		if l.used == 0 {
@@ -129,7 +132,8 @@
 		}
 		l.out.took(protocol.AppendExecution(l.out.room(), q, time.Until(until)))
 		l.out.Write(q.Body)
-		if w.send(l, until) {
+		whole, early := w.send(l, until)
+		if whole {
 			break
 		}
 		switch called, left := w.end(); { // not whole: it never ran
@@ -137,7 +141,9 @@
 			w.pool.end(l, withdrawn)
 			return protocol.Reply{Outcome: protocol.Unsent}
 		case l.used > 0: // it had died since its last answer, and says nothing of the server
-			w.pool.distrust(time.Since(l.idleAt))
+			if !early {
+				w.pool.distrust(time.Since(l.idleAt))
+			}
 			w.pool.end(l, serverStale)
 		case fresh < mostFresh: // one that breaks at once may be chance; where servers do it, two seldom are
 			w.pool.end(l, serverBroken)
@@ -188,20 +194,26 @@
 
 // send writes a request, its last byte by itself: what breaks before that has never run, and a connection that a
 // server has given up breaks as soon as the rest comes. Written at once, it would break after the last byte and so
-// may have run, which costs a single-use ticket. It tells whether all was written.
-func (w *worker) send(l *link, until time.Time) bool {
+// may have run, which costs a single-use ticket. It tells whether all was written. Bytes that come before it are of
+// an earlier ticket's answer, or of a second one to it, where the connection has carried any, and would pass for this
+// ticket's: early. On a new one they are left to the reader.
+func (w *worker) send(l *link, until time.Time) (whole, early bool) {
 	if l.out.FlushBut(1) != nil {
-		return false
+		return false, false
 	}
 	l.conn.SetReadDeadline(time.Now().Add(breakWithin))
-	broken := l.sock.ready() // an answer that comes early is left for its reader
+	some, broken := l.sock.ready()
+	early = some && l.used > 0
 	w.mu.Lock()
 	called := w.called == w.nth || w.left
 	if !called { // else the deadline is past, and stays so
 		l.conn.SetDeadline(until)
 	}
 	w.mu.Unlock()
-	return !broken && !called && l.out.Flush() == nil
+	if broken || early || called {
+		return false, early
+	}
+	return l.out.Flush() == nil, false
 }
 
 // trim gives up a buffer that one large body made large.
