The watch looks for a call that is answered every 80 ms while none is known to be

Seen by reading: where lists are pushed, what discovery's agent has counts as told whether or not a call is open, and drain graces are 250 to 500 ms; but the watch noticed a call that is never answered after 2 s (holdFor + graceFor), its pause after failures grew to 1 s (againLong), and a dial could take 1 s more.

Now the first call on a connection asks to be answered at once, and until one is, another connection is tried every 80 ms beside those before: each is given up after 240 ms but one, which has 2 s, should discovery be slow (test: answers 0.5 s late are still followed). Once a call was answered the watch goes on as before: 1 s held, 2 s at most. Refuted: a list of the old address delivered after a move (one goroutine delivers, in order; the new address is asked for the whole list); a list whose connection ends with it was dropped only where its end was the connection's, and is now taken. Where the node has to ask for lists nothing changes: there discovery is one service for all.

Watch.Stop ends the watch of a test.

--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -15,13 +15,22 @@
 
 // Times of the watch.
 const (
-	holdFor   = time.Second // a call waits so long for news: one that is lost leaves the node deaf for as long
-	graceFor  = time.Second // and its answer may be so much later
-	againLong = time.Second // between calls that fail
-	againOnce = 50 * time.Millisecond
+	holdFor   = time.Second           // a call waits so long for news: one that is lost leaves the node deaf for as long
+	graceFor  = time.Second           // and its answer may be so much later
+	againLong = time.Second           // a dial may take so long; between two lines on calls that fail
+	againOnce = 50 * time.Millisecond // between two connections, however soon they end
+	lookHold  = time.Millisecond      // the first call on a connection is answered at once,
+	lookEvery = 80 * time.Millisecond // or another is tried beside it, as no drain's grace is over by then,
+	lookFor   = 3 * lookEvery         // and given up after so long; but for one, should discovery be slow
 )
 
 // Watch follows discovery over one connection at a time. While it is silent the last list stays.
+//
+// Where lists are pushed, what discovery's agent on this machine has counts as told whether or not a call is open, and
+// a server that it says is draining must get nothing new a grace of 250 to 500 ms later. So while no call is known to
+// be answered the watch looks for one that is: a new connection each lookEvery, whatever became of those before, as a
+// call that came while discovery was down may never be answered. It could harm a discovery that is no agent: where
+// the node has to ask for lists (Asked) it makes one call at a time, when the module says so.
 type Watch struct {
 	Addr   string
 	Rev    uint64 // what is known
@@ -34,9 +43,12 @@
 	Missed func()
 	Asked  <-chan struct{} // where set, each run of calls waits for a word
 
+	sure bool // discovery answered, and closed the connection in good order
+
 	mu    sync.Mutex
 	addr  string // where it has moved to
 	leave context.CancelFunc
+	ended bool
 }
 
 // Move makes the watch follow discovery at another address from now on. There it asks for the whole list: what
@@ -50,23 +62,36 @@
 	}
 }
 
+// Stop ends Run.
+func (w *Watch) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	if w.leave != nil {
+		w.leave()
+	}
+}
+
 // begin readies a run of calls, which ends with the context.
-func (w *Watch) begin() (context.Context, context.CancelFunc) {
+func (w *Watch) begin() (ctx context.Context, cancel context.CancelFunc, goOn bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel = context.WithCancel(context.Background())
 	w.leave = cancel
 	if w.addr != "" {
 		w.Addr, w.Whole, w.addr = w.addr, true, ""
 	}
-	return ctx, cancel
+	return ctx, cancel, !w.ended
 }
 
-// Run follows discovery for good.
+// Run follows discovery until Stop.
 func (w *Watch) Run() {
-	pause := againOnce
 	for moved := false; ; {
-		ctx, cancel := w.begin()
+		ctx, cancel, goOn := w.begin()
+		if !goOn {
+			cancel()
+			return
+		}
 		if w.Asked != nil && !moved {
 			select {
 			case <-w.Asked:
@@ -75,66 +100,168 @@
 		}
 		began := time.Now()
 		if err := w.follow(ctx); ctx.Err() == nil {
-			if w.Missed != nil {
-				w.Missed()
-			}
-			w.Log.Warn().Err(err).Msg("discovery's watch ended")
-			if pause = min(2*pause, againLong); time.Since(began) > pause {
-				pause = againOnce
-			}
-			if w.Asked == nil { // else the word to ask again is another's
+			w.miss(err)
+			if pause := againOnce - time.Since(began); w.Asked == nil && pause > 0 { // else the word to ask again is another's
 				select {
 				case <-time.After(pause):
 				case <-ctx.Done():
 				}
 			}
 		}
-		if moved = ctx.Err() != nil; moved { // nothing was missed: go on there at once
-			pause = againOnce
-		}
+		moved = ctx.Err() != nil // nothing was missed: go on there at once
 		cancel()
 	}
 }
 
+// miss tells of a call that failed.
+func (w *Watch) miss(err error) {
+	if w.Missed != nil {
+		w.Missed()
+	}
+	w.Log.Warn().Err(err).Msg("discovery's watch ended")
+}
+
 // follow makes one call after another, each as soon as the last is answered, until one fails.
 func (w *Watch) follow(ctx context.Context) error {
-	d := net.Dialer{Timeout: max(w.Limits.Connect, againLong), KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", w.Addr)
-	if err != nil {
-		return err
+	var a answer
+	if w.Asked == nil && !w.sure {
+		a = w.look(ctx)
+	} else {
+		a = w.first(ctx, holdFor, holdFor+graceFor)
 	}
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	began, calls := time.Now(), 0
-	defer func() {
-		conn.Close()
-		logEnd(w.Log, "discovery", w.Addr, discoveryEnded, began, calls)
-	}()
-	in, out := newRing(conn, conn, w.Limits.ring()), newRing(conn, conn, leastRing)
-	br := bufio.NewReaderSize(&in, lookahead)
+	if w.sure = false; a.err != nil {
+		return a.err
+	}
+	defer context.AfterFunc(ctx, func() { a.from.conn.Close() })()
+	defer func() { a.from.close() }()
 	for {
-		out.took(protocol.AppendWatch(out.room(), w.Addr, w.Whole, w.Rev, holdFor))
-		conn.SetDeadline(time.Now().Add(holdFor + graceFor))
-		if err := out.Flush(); err != nil {
-			return err
-		}
-		in.patient = true // the deadline above guards it
-		in.Allow(protocol.MostList)
-		calls++
-		list, last, err := protocol.ReadList(br)
-		if in.err != nil {
-			return in.err
-		}
-		if err != nil {
-			w.Count.ListsBad.Add(1)
-			return err
-		}
 		w.Count.Lists.Add(1)
-		w.Rev, w.Whole = list.Rev, false
-		if list.All || len(list.Targets) > 0 {
+		w.Rev, w.Whole = a.list.Rev, false
+		if a.list.All || len(a.list.Targets) > 0 {
+			list := a.list
 			w.Listed(&list)
 		}
-		if last {
+		if a.last {
+			w.sure = true
 			return errors.New("discovery closed the connection")
 		}
+		if a = a.from.call(false, w.Rev, holdFor, holdFor+graceFor); a.err != nil {
+			return a.err
+		}
+	}
+}
+
+// answer is what came of one call.
+type answer struct {
+	from    *calls
+	list    protocol.List
+	last    bool // the connection ends with it
+	err     error
+	patient bool        // of the one look that waits long
+	keep    func() bool // the connection is not to end with its look
+}
+
+// look is the first answer of several connections, tried one after another until one is answered.
+func (w *Watch) look(ctx context.Context) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends those that lost
+	got, next, patient, told := make(chan answer), time.NewTimer(0), false, time.Now()
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return answer{err: ctx.Err()}
+		case <-next.C:
+			wait, long := lookFor, !patient
+			if long {
+				wait, patient = holdFor+graceFor, true
+			}
+			look := w.at()
+			go func() {
+				a := look.first(ctx, lookHold, wait)
+				a.patient = long
+				select {
+				case got <- a:
+				case <-ctx.Done():
+					if a.err == nil {
+						a.from.close()
+					}
+				}
+			}()
+			next.Reset(lookEvery)
+		case a := <-got:
+			if a.err == nil && a.keep() {
+				return a
+			}
+			patient = patient && !a.patient
+			if a.err != nil && time.Since(told) >= againLong {
+				w.miss(a.err)
+				told = time.Now()
+			}
+		}
+	}
+}
+
+// at is where, and from what on, a look asks: of its own, as the watch may have moved on when it ends.
+func (w *Watch) at() *Watch {
+	return &Watch{Addr: w.Addr, Rev: w.Rev, Whole: w.Whole, Limits: w.Limits, Log: w.Log, Count: w.Count}
+}
+
+// first opens a connection and makes its first call, both within a time.
+func (w *Watch) first(ctx context.Context, hold, wait time.Duration) answer {
+	until := time.Now().Add(wait)
+	d := net.Dialer{Timeout: max(w.Limits.Connect, againLong), Deadline: until, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", w.Addr)
+	if err != nil {
+		return answer{err: err}
+	}
+	c := &calls{conn: conn, addr: w.Addr, log: w.Log, count: w.Count, began: time.Now(),
+		in: newRing(conn, conn, w.Limits.ring()), out: newRing(conn, conn, leastRing)}
+	c.br = bufio.NewReaderSize(&c.in, lookahead)
+	keep := context.AfterFunc(ctx, func() { conn.Close() })
+	a := c.call(w.Whole, w.Rev, hold, time.Until(until))
+	if a.keep = keep; a.err != nil {
+		keep()
+		c.close()
 	}
+	return a
+}
+
+// calls is one connection to discovery.
+type calls struct {
+	conn    net.Conn
+	addr    string
+	log     *zerolog.Logger
+	count   *Counters
+	in, out ring
+	br      *bufio.Reader
+	began   time.Time
+	made    int
+}
+
+// call asks for what is newer than a version, or for all, and waits for so long at most.
+func (c *calls) call(whole bool, rev uint64, hold, wait time.Duration) answer {
+	a := answer{from: c}
+	c.out.took(protocol.AppendWatch(c.out.room(), c.addr, whole, rev, hold))
+	c.conn.SetDeadline(time.Now().Add(wait))
+	if a.err = c.out.Flush(); a.err != nil {
+		return a
+	}
+	c.in.patient = true // the deadline above guards it
+	c.in.Allow(protocol.MostList)
+	c.made++
+	if a.list, a.last, a.err = protocol.ReadList(c.br); a.err == nil { // also where its end is the connection's
+		return a
+	}
+	if c.in.err != nil {
+		a.err = c.in.err
+	} else {
+		c.count.ListsBad.Add(1)
+	}
+	return a
+}
+
+func (c *calls) close() {
+	c.conn.Close()
+	logEnd(c.log, "discovery", c.addr, discoveryEnded, c.began, c.made)
 }
--- /dev/null
+++ b/internal/transport/watch_test.go
@@ -0,0 +1,184 @@
+package transport
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cherrygap/internal/protocol"
+)
+
+// agent is discovery's agent: up or down, it answers with a list of its version.
+type agent struct {
+	mu    sync.Mutex
+	up    bool
+	rev   int
+	conns map[net.Conn]struct{}
+	calls atomic.Int64
+}
+
+// serve answers calls, on connections of which the first may be taken and never answered; a call that comes while the
+// agent is down never is.
+func (a *agent) serve(ln net.Listener, mute int, late time.Duration) {
+	for k := 0; ; k++ {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.conns[conn] = struct{}{}
+		a.mu.Unlock()
+		go func() {
+			defer conn.Close()
+			br := bufio.NewReader(conn)
+			for {
+				q, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				a.calls.Add(1)
+				for from := q.FormValue("from"); ; time.Sleep(time.Millisecond) {
+					a.mu.Lock()
+					up, rev := a.up, a.rev
+					a.mu.Unlock()
+					if !up || k < mute {
+						conn.Read(make([]byte, 1)) // until the node gives it up
+						return
+					}
+					if hold := q.FormValue("hold_ms"); from == "" || from != fmt.Sprint(rev) || hold == "1" {
+						break
+					}
+				}
+				time.Sleep(late)
+				a.mu.Lock()
+				text := fmt.Sprintf(`{"rev":%d,"all":true,"targets":[]}`, a.rev)
+				a.mu.Unlock()
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			}
+		}()
+	}
+}
+
+func (a *agent) set(up bool, rev int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.up, a.rev = up, rev
+}
+
+// told is the smallest grace of a drain that any settings name: what the agent has must be known well before.
+const told = 200 * time.Millisecond
+
+// What discovery's agent has counts as told, whether or not a call is open. The watch hears of it in good time, whatever
+// became of its calls before: never answered, refused, without a connection, or reset.
+func TestWatchHearsInTimeOfWhatTheAgentHas(t *testing.T) {
+	for name, c := range map[string]struct {
+		mute    int                                 // connections at the start that are never answered
+		late    time.Duration                       // of every answer
+		trouble func(*agent, *net.Listener, string) // brings on the trouble, and ends it
+	}{
+		"calls made while it is down are never answered": {trouble: func(a *agent, _ *net.Listener, _ string) {
+			a.set(false, 1)
+			a.reset()
+			time.Sleep(1500 * time.Millisecond)
+		}},
+		"refused": {trouble: func(a *agent, ln *net.Listener, addr string) {
+			(*ln).Close()
+			a.reset()
+			time.Sleep(2500 * time.Millisecond)
+			*ln, _ = net.Listen("tcp", addr)
+		}},
+		"reset":                         {trouble: func(a *agent, _ *net.Listener, _ string) { a.reset() }},
+		"its first call is lost":        {mute: 1, trouble: func(*agent, *net.Listener, string) {}},
+		"its first four calls are lost": {mute: 4, trouble: func(*agent, *net.Listener, string) {}},
+		"slow, but not down":            {late: 500 * time.Millisecond, trouble: func(*agent, *net.Listener, string) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr := ln.Addr().String()
+			a := &agent{up: true, rev: 1, conns: map[net.Conn]struct{}{}}
+			go a.serve(ln, c.mute, c.late)
+			log, revs := zerolog.Nop(), make(chan uint64, 99)
+			w := &Watch{Addr: addr, Whole: true, Limits: roomy, Log: &log, Count: &Counters{},
+				Listed: func(l *protocol.List) { revs <- l.Rev }, Missed: func() {}}
+			go w.Run()
+			defer w.Stop()
+			heard := func(rev uint64, since time.Time, within time.Duration) {
+				t.Helper()
+				for end := time.After(5 * time.Second); ; {
+					select {
+					case got := <-revs:
+						if got < rev {
+							continue
+						}
+						if took := time.Since(since); took > within {
+							t.Errorf("version %d heard after %v", rev, took)
+						}
+						return
+					case <-end:
+						t.Fatalf("version %d never heard", rev)
+					}
+				}
+			}
+			heard(1, time.Now(), told+c.late+time.Duration(c.mute)*lookEvery)
+			old := ln
+			c.trouble(a, &ln, addr)
+			if ln == nil {
+				t.Fatal("no listener")
+			}
+			if ln != old {
+				go a.serve(ln, 0, c.late)
+			}
+			defer func() { ln.Close() }()
+			a.set(true, 2)
+			heard(2, time.Now(), told+2*c.late)
+			if n := a.calls.Load(); n > 60 {
+				t.Errorf("%d calls", n)
+			}
+		})
+	}
+}
+
+// reset ends all connections.
+func (a *agent) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for conn := range a.conns {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	clear(a.conns)
+}
+
+// An agent whose connections don't come up, and then do.
+func TestWatchHearsOfAnAgentThatComesUp(t *testing.T) {
+	addr, empty := full(t)
+	log, listed := zerolog.Nop(), make(chan time.Time, 99)
+	w := &Watch{Addr: addr.String(), Whole: true, Limits: roomy, Log: &log, Count: &Counters{},
+		Listed: func(*protocol.List) { listed <- time.Now() }, Missed: func() {}}
+	go w.Run()
+	defer w.Stop()
+	time.Sleep(300 * time.Millisecond)
+	a := &agent{up: true, rev: 1, conns: map[net.Conn]struct{}{}}
+	ln := empty()
+	for range 2 { // those that filled its queue
+		if conn, err := ln.Accept(); err == nil {
+			conn.Close()
+		}
+	}
+	up := time.Now()
+	go a.serve(ln, 0, 0)
+	if took := (<-listed).Sub(up); took > told {
+		t.Errorf("heard after %v", took)
+	}
+}
