The watch asks for the whole list where versions go back; its connection is no shared variable

Seen by reading: a discovery that was restarted, or stands in for another, may count anew; a call for what is newer than version 90 then waits until it gets there, while servers drain. The file's known list may name a version of another discovery too, as after a move and a restart. Forced by a test (90, then 2): the text before goes on asking from=2 for changes alone and never learns the list. Now an answer of a lower version that is not whole is followed by a call for the whole list.

It always held the same connection, so no harm came of it.

--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -132,11 +132,15 @@
 	if w.sure = false; a.err != nil {
 		return a.err
 	}
-	defer context.AfterFunc(ctx, func() { a.from.conn.Close() })()
-	defer func() { a.from.close() }()
+	c := a.from
+	defer context.AfterFunc(ctx, func() { c.conn.Close() })()
+	defer c.close()
 	for {
 		w.Count.Lists.Add(1)
-		w.Rev, w.Whole = a.list.Rev, false
+		// A version that goes back is of a discovery which counts anew, as one that was restarted or stands in for another:
+		// changes since a version that it never had are not to be had.
+		back := !w.Whole && !a.list.All && a.list.Rev < w.Rev
+		w.Rev, w.Whole = a.list.Rev, back
 		if a.list.All || len(a.list.Targets) > 0 {
 			list := a.list
 			w.Listed(&list)
@@ -145,7 +149,7 @@
 			w.sure = true
 			return errors.New("discovery closed the connection")
 		}
-		if a = a.from.call(false, w.Rev, holdFor, holdFor+graceFor); a.err != nil {
+		if a = c.call(back, w.Rev, holdFor, holdFor+graceFor); a.err != nil {
 			return a.err
 		}
 	}
--- a/internal/transport/watch_test.go
+++ b/internal/transport/watch_test.go
@@ -149,6 +149,43 @@
 	}
 }
 
+// A version that goes back is of a discovery that counts anew: the watch asks it for the whole list, or it would wait for a
+// version that is far off while servers drain.
+func TestWatchAsksForAllWhereVersionsGoBack(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	calls := make(chan string, 99)
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		calls <- q.RequestURI
+		switch q.FormValue("from") {
+		case "":
+			fmt.Fprint(w, `{"rev":3,"all":true,"targets":[]}`)
+		case "90":
+			fmt.Fprint(w, `{"rev":2,"all":false,"targets":[]}`)
+		default:
+			<-q.Context().Done()
+		}
+	}))
+	log := zerolog.Nop()
+	w := &Watch{Addr: ln.Addr().String(), Rev: 90, Limits: roomy, Log: &log, Count: &Counters{},
+		Listed: func(*protocol.List) {}, Missed: func() {}}
+	go w.Run()
+	defer w.Stop()
+	for _, want := range []string{"/v1/servers?from=90&hold_ms=1", "/v1/servers", "/v1/servers?from=3&hold_ms=1000"} {
+		select {
+		case got := <-calls:
+			if got != want {
+				t.Errorf("call %s, want %s", got, want)
+			}
+		case <-time.After(3 * time.Second):
+			t.Fatal("no call for " + want)
+		}
+	}
+}
+
 // reset ends all connections.
 func (a *agent) reset() {
 	a.mu.Lock()
