A node waits for its addresses where the process before it still holds them

Seen by reading: after SIGTERM a process may have its last tickets open for their outer limit, and its peers' socket with them; a node started meanwhile under the same addresses ended at once with exit code 2. Forced by a test that holds both addresses. Now it asks again every 0.1 s for 20 s (the platform wants it ready in 30), with a line in the log; any other fault of an address still ends the start at once. Harm: an address that is wrongly in use is reported 20 s later, but each line names it.

--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -29,11 +29,13 @@
 )
 
 const (
-	acceptFor = 500 * time.Millisecond // after SIGTERM: clients may come for 0.4 s
-	heapPart  = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
-	logLines  = 1000                   // that wait to be written,
-	lastLines = 200 * time.Millisecond // and for so long at the end
-	gcPercent = 400                    // little lives, so that a roomy heap saves collections
+	acceptFor  = 500 * time.Millisecond // after SIGTERM: clients may come for 0.4 s
+	freeWithin = 20 * time.Second       // for the node's own addresses; the platform wants it ready in 30 s
+	freeAgain  = 100 * time.Millisecond
+	heapPart   = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
+	logLines   = 1000                   // that wait to be written,
+	lastLines  = 200 * time.Millisecond // and for so long at the end
+	gcPercent  = 400                    // little lives, so that a roomy heap saves collections
 )
 
 func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs } // the library's, for the whole process
@@ -117,8 +119,11 @@
 	}
 	hear := func(func(int, []byte) bool) {}
 	if c.Peer.IsValid() {
-		mail, err := transport.OpenMail(c.Peer, protocol.NewPeers(c.Peers, c.PeersAll), count)
-		if err != nil {
+		var mail *transport.Mail
+		if err := onceFree(&log, func() (err error) {
+			mail, err = transport.OpenMail(c.Peer, protocol.NewPeers(c.Peers, c.PeersAll), count)
+			return err
+		}); err != nil {
 			return err
 		}
 		cfg.Tell, hear = mail.Tell, mail.Hear
@@ -178,8 +183,11 @@
 		defer checked.Close()
 		check = checked
 	}
-	front, err := transport.Listen(c.Listen, router, pool, limits, check, &log, count)
-	if err != nil {
+	var front *transport.Front
+	if err := onceFree(&log, func() (err error) {
+		front, err = transport.Listen(c.Listen, router, pool, limits, check, &log, count)
+		return err
+	}); err != nil {
 		return err
 	}
 	drain := func() { front.Drain(acceptFor) }
@@ -233,6 +241,18 @@
 	}
 }
 
+// onceFree opens a socket of the node's own, again and again while its address is in use: the process before it under the
+// same address may have its last tickets open still. Any other error ends the start at once.
+func onceFree(log *zerolog.Logger, open func() error) error {
+	for end := time.Now().Add(freeWithin); ; time.Sleep(freeAgain) {
+		err := open()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return err
+		}
+		log.Warn().Err(err).Msg("waiting for an address in use")
+	}
+}
+
 // authoriser checks tickets, and counts.
 type authoriser interface {
 	transport.Checker
--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -404,3 +404,50 @@
 		}
 	}
 }
+
+// A node that is started while the process before it still holds its addresses waits for them; any other fault of an
+// address ends the start at once.
+func TestStartWaitsForItsAddresses(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("127.0.0.4:9000", tcp.Addr().String(), "127.0.0.9:8500", port(t),
+		"127.0.0.4:7946", udp.LocalAddr().String()).Replace(good)
+	c, err := parseConfig([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- run(c) }()
+	time.Sleep(2 * freeAgain)
+	udp.Close()
+	time.Sleep(2 * freeAgain)
+	select {
+	case err := <-ended:
+		t.Fatal(err)
+	default:
+	}
+	tcp.Close()
+	answered := false
+	for end := time.Now().Add(5 * time.Second); !answered && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		a, err := http.Get("http://" + c.Listen + "/healthz")
+		if answered = err == nil; answered {
+			a.Body.Close()
+		}
+	}
+	if !answered {
+		t.Error("it does not listen")
+	}
+	syscall.Kill(syscall.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if err := onceFree(nil, func() error { return syscall.EACCES }); err != syscall.EACCES {
+		t.Error(err)
+	}
+}
