A log whose reader goes ends no node: SIGPIPE is ignored

Seen by reading: by Go's default a write to a broken pipe on standard error ends the process with SIGPIPE, a crash at the moment that whoever reads the log restarts. Forced in a process of its own: "signal: broken pipe" on the text before. Now the signal is ignored where the command line starts a node; lines that can't be written are lost.

--- a/cmd/cherrygap/main.go
+++ b/cmd/cherrygap/main.go
@@ -49,6 +49,7 @@
 	signal.Notify(s.term, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.hup, syscall.SIGHUP)
 	signal.Notify(s.count, syscall.SIGUSR1)
+	signal.Ignore(syscall.SIGPIPE) // of a log whose reader went: by default it ends the process
 	return s
 })
 
--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -451,3 +452,26 @@
 		t.Error(err)
 	}
 }
+
+// The log's reader goes, as when it restarts: a node is not ended by that. The test runs itself as the process that writes.
+func TestALogWhoseReaderWentEndsNoNode(t *testing.T) {
+	if os.Getenv("LOG_READER_WENT") != "" {
+		heed()
+		for range 3 {
+			fmt.Fprintln(os.Stderr, "a line that nobody reads")
+		}
+		fmt.Println("goes on")
+		return
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	defer w.Close()
+	cmd := exec.Command(os.Args[0], "-test.run=^TestALogWhoseReaderWentEndsNoNode$")
+	cmd.Env, cmd.Stderr = append(os.Environ(), "LOG_READER_WENT=1"), w
+	if out, err := cmd.Output(); err != nil || !strings.Contains(string(out), "goes on") {
+		t.Errorf("%q, %v", out, err)
+	}
+}
