--- a/internal/transport/leave_test.go
+++ b/internal/transport/leave_test.go
@@ -272,3 +272,32 @@
 	case <-time.After(1500 * time.Millisecond): // a connection attempt is repeated after a second
 	}
 }
+
+// Clients that leave while their tickets wait for the word of their customer's home, a node that does not answer: what
+// would pass by the even slice once that wait is over is not sent on.
+func TestLeavingWhileAHomeIsAsked(t *testing.T) {
+	wide := map[string]string{"nodes": "60", "node": "0", "peers": "true", "peers.take": "40"}
+	b := startWith(t, wide, "replayable", roomy, 4, echo)
+	ask1 := func(more string) net.Conn {
+		conn := b.dial(t)
+		io.WriteString(conn, strings.Replace(ticketText(4000, "x"), "spread=1", "spread=2", 1)+more)
+		return conn
+	}
+	stays := ask1("")
+	for k := range 20 {
+		conn := ask1(strings.Repeat("more ", k%2*100))
+		eventually(t, "its ticket", func() bool { return b.count.Taken.Load() == int64(k+2) })
+		conn.Close()
+	}
+	if status, body, _ := ask(t, stays, ""); status != 200 || body != "x" {
+		t.Errorf("the one that stayed got %d, %q", status, body)
+	}
+	eventually(t, "the others' ends", func() bool { return b.count.Gone.Load() == 20 })
+	late := ask1("")
+	if status, _, _ := ask(t, late, ""); status != 200 { // which waits as long as any of them would have
+		t.Errorf("the next one got %d", status)
+	}
+	if n := b.count.Sent.Load(); n != 2 {
+		t.Errorf("%d executions for two that stayed", n)
+	}
+}
