--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -17,8 +17,10 @@
 // that no execution is written to one that its server closes at that moment and so may have run.
 const retireAt = 0.8
 
-// settleFor is how long a connection stays out of use after an answer: twice as long as a second one was seen to take.
-const settleFor = 10 * time.Millisecond
+// settleFor is how long a connection stays out of use after an answer, so that a second one is seen before it would pass
+// for the next ticket's: six times as long as any was seen to take. It costs a connection for each execution that a
+// server gets within that time, which is few: a node sends a server some ten a second.
+const settleFor = 30 * time.Millisecond
 
 // A connection that breaks so soon after a request was written had died before; it is remembered for a while.
 const (
