Failing tests: system calls that fail for a moment stop a node's parts

Nothing here could make them fail: the node calls the kernel without the C library, so no preloaded library reaches it.

Measured, on the code as it was: after ETIMEDOUT of accept(2) the listener is closed for good; after 150 ms without sockets or connections 6 of 6 requests end with 503; a start where socket(2) fails for a moment ends with exit code 2.

--- a/cmd/cherrygap/main_test.go
+++ b/cmd/cherrygap/main_test.go
@@ -15,6 +15,7 @@
 const (
 	asProgram       = "CHERRYGAP_TEST_AS_PROGRAM" // as the program, by its command line
 	asNode          = "TEST_NODE"                 // as a node without an operator file
+	asFaultyNode    = "TEST_FAULTY_NODE"          // as such a node, some of whose system calls the test decides on
 	descriptorLimit = "TEST_FILES"                // of such a node
 )
 
@@ -24,6 +25,12 @@
 		main()
 		os.Exit(0)
 	}
+	if os.Getenv(asFaultyNode) != "" {
+		if err := execFaultyNode(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+	}
 	if os.Getenv(asNode) != "" {
 		if err := runLimitedNode(); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cherrygap/internal/lab/syscallfault"
+)
+
+// faultyCalls are the system calls that the tests of this file make fail.
+var faultyCalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_OPENAT, unix.SYS_PPOLL}
+
+// execFaultyNode puts the filter on this process and starts this program anew as a node.
+func execFaultyNode() error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if err := os.Unsetenv(asFaultyNode); err != nil {
+		return err
+	}
+	return syscallfault.Exec(syscallfault.InheritedSocket, faultyCalls, program, os.Args, os.Environ())
+}
+
+// failingCall is a policy that fails one system call as long as it is on.
+type failingCall struct {
+	number int
+	on     atomic.Bool
+	errno  atomic.Int32
+	failed atomic.Int32
+}
+
+func (f *failingCall) decide(call syscallfault.Call) syscall.Errno {
+	if call.Number != f.number || !f.on.Load() {
+		return 0
+	}
+	f.failed.Add(1)
+	return syscall.Errno(f.errno.Load())
+}
+
+func (f *failingCall) begin(errno syscall.Errno) {
+	f.errno.Store(int32(errno))
+	f.failed.Store(0)
+	f.on.Store(true)
+}
+
+// failFor fails the call until it has failed so often.
+func (f *failingCall) failFor(t *testing.T, errno syscall.Errno, times int32) {
+	t.Helper()
+	f.begin(errno)
+	eventually(t, 10*time.Second, fmt.Sprint(times, " failures by ", errno), func() bool { return f.failed.Load() >= times })
+	f.on.Store(false)
+}
+
+// faultyProcess readies a node in a process of its own whose system calls a policy decides on; start starts it.
+func faultyProcess(t *testing.T, policy syscallfault.Policy, discovery string, servers ...net.Listener) *process {
+	t.Helper()
+	p := &process{addr: freeAddress(t)}
+	file := filepath.Join(t.TempDir(), "config.json")
+	writeFile(t, file, processConfig(p.addr, discovery, 1024, servers))
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), asNode+"=1", asFaultyNode+"=1", envConfig+"="+file)
+	p.cmd.Stderr = &p.log
+	injector, err := syscallfault.NewInjector(p.cmd, policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	killAtEnd(t, p.cmd)
+	ended := make(chan error, 1)
+	go func() { ended <- injector.Run() }() // ends with the process
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+// echoServer is an app server that answers every request.
+func echoServer(t *testing.T) net.Listener {
+	return serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) })
+}
+
+const faultTimeout = 2 * time.Second // of the requests of these tests
+
+var lastFaultID atomic.Int64
+
+// requestStatus sends a request on a connection of its own and returns its status, or 0 where the connection ends without one.
+func requestStatus(t *testing.T, address string) int {
+	t.Helper()
+	conn := sendRequest(t, address, fmt.Sprint("fault-", lastFaultID.Add(1)), faultTimeout)
+	if err := conn.SetDeadline(time.Now().Add(faultTimeout + time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// TestAcceptErrorsStopNoListener: whatever accept(2) returns for a moment, clients are accepted afterwards.
+func TestAcceptErrorsStopNoListener(t *testing.T) {
+	t.Parallel()
+	fault := &failingCall{number: unix.SYS_ACCEPT4}
+	discovery := listen(t)
+	p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
+	p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+	for _, errno := range []syscall.Errno{
+		unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPROTO, unix.EPERM, unix.EINTR,
+		unix.ENETDOWN, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT,
+	} {
+		fault.begin(errno)
+		conn, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatalf("before %v: %v", errno, err)
+		}
+		closeAtEnd(t, conn)
+		fault.failFor(t, errno, 2)
+		if status := requestStatus(t, p.addr); status != http.StatusOK {
+			t.Fatalf("after %v of accept a request ended with status %d", errno, status)
+		}
+	}
+}
+
+// TestWhatThisMachineLacksSaysNothingOfServers: while no connection can be made for reasons of the node's own machine, no
+// server is ejected, and a request that comes then is served once the connection can be made.
+func TestWhatThisMachineLacksSaysNothingOfServers(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		number int
+		errnos []syscall.Errno
+	}{
+		{unix.SYS_SOCKET, []syscall.Errno{unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM}},
+		{unix.SYS_CONNECT, []syscall.Errno{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.ENETDOWN, unix.EAGAIN}},
+	} {
+		for _, errno := range c.errnos {
+			t.Run(fmt.Sprint(c.number, " ", strings.ReplaceAll(errno.Error(), " ", "-")), func(t *testing.T) {
+				t.Parallel()
+				fault := &failingCall{number: c.number}
+				discovery := listen(t)
+				p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t), echoServer(t))
+				p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+				fault.begin(errno)
+				statuses := make(chan int)
+				const requests = 6
+				for range requests {
+					go func() { statuses <- requestStatus(t, p.addr) }()
+				}
+				time.Sleep(150 * time.Millisecond) // the fault's length: what it does to the requests that wait is measured
+				fault.on.Store(false)
+				for range requests {
+					if status := <-statuses; status != http.StatusOK {
+						t.Errorf("a request that met the fault ended with status %d", status)
+					}
+				}
+				for range requests {
+					if status := requestStatus(t, p.addr); status != http.StatusOK {
+						t.Errorf("a request after the fault ended with status %d", status)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestStartOutlastsWhatTheMachineLacks: a node whose own sockets can't be opened for a moment at its start is ready
+// once they can.
+func TestStartOutlastsWhatTheMachineLacks(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM} {
+		t.Run(strings.ReplaceAll(errno.Error(), " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			fault := &failingCall{number: unix.SYS_SOCKET}
+			fault.begin(errno)
+			discovery := listen(t)
+			p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
+			fault.failFor(t, errno, 2)
+			p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+			if status := requestStatus(t, p.addr); status != http.StatusOK {
+				t.Errorf("a request ended with status %d", status)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/syscallfault/injector.go
@@ -0,0 +1,151 @@
+package syscallfault
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync/atomic"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// InheritedSocket is the descriptor under which the child finds the socket for Exec.
+const InheritedSocket = 3
+
+// flagContinue is SECCOMP_USER_NOTIF_FLAG_CONTINUE: the kernel carries the call out.
+const flagContinue = 1
+
+// Call is one system call that a process is about to make.
+type Call struct {
+	Number int
+	Args   [6]uint64
+}
+
+// Policy gives the error that a system call fails with; 0 lets it go through. It is called on one goroutine for each
+// process.
+type Policy func(Call) syscall.Errno
+
+// Injector answers the notifications of one process.
+type Injector struct {
+	parentEnd, childEnd *os.File
+	policy              Policy
+	failed              atomic.Int64
+}
+
+// NewInjector readies a command, which has not been started yet and whose program calls Exec, for its system calls to
+// be decided on by a policy. Run has to follow the command's start.
+func NewInjector(cmd *exec.Cmd, policy Policy) (*Injector, error) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socketpair: %w", err)
+	}
+	i := &Injector{parentEnd: os.NewFile(uintptr(pair[0]), "parent"), childEnd: os.NewFile(uintptr(pair[1]), "child"), policy: policy}
+	cmd.ExtraFiles = []*os.File{i.childEnd}
+	return i, nil
+}
+
+// Failed returns how many calls were made to fail.
+func (i *Injector) Failed() int64 { return i.failed.Load() }
+
+// Run answers notifications until the process has ended.
+func (i *Injector) Run() error {
+	_ = i.childEnd.Close() // the child has its own
+	listener, err := i.receiveListener()
+	_ = i.parentEnd.Close()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = unix.Close(listener) }()
+	for {
+		open, err := waitForNotification(listener)
+		if err != nil || !open {
+			return err
+		}
+		if err := i.answerOne(listener); err != nil {
+			return err
+		}
+	}
+}
+
+// receiveListener receives the filter's descriptor from the child.
+func (i *Injector) receiveListener() (int, error) {
+	buffer, control := make([]byte, 1), make([]byte, unix.CmsgSpace(4))
+	_, controlLength, _, _, err := unix.Recvmsg(int(i.parentEnd.Fd()), buffer, control, unix.MSG_CMSG_CLOEXEC)
+	if err != nil {
+		return -1, fmt.Errorf("receiving the filter's descriptor: %w", err)
+	}
+	messages, err := unix.ParseSocketControlMessage(control[:controlLength])
+	if err != nil || len(messages) != 1 {
+		return -1, fmt.Errorf("no descriptor of a filter: %w", errors.Join(err, os.ErrInvalid))
+	}
+	descriptors, err := unix.ParseUnixRights(&messages[0])
+	if err != nil || len(descriptors) != 1 {
+		return -1, fmt.Errorf("no descriptor of a filter: %w", errors.Join(err, os.ErrInvalid))
+	}
+	return descriptors[0], nil
+}
+
+// waitForNotification waits until a call is reported, or returns false once the process has ended.
+func waitForNotification(listener int) (open bool, err error) {
+	for {
+		events := []unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}
+		_, err := unix.Poll(events, -1)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return false, fmt.Errorf("poll: %w", err)
+		case events[0].Revents&unix.POLLIN != 0:
+			return true, nil
+		default:
+			return false, nil
+		}
+	}
+}
+
+// notification is struct seccomp_notif.
+type notification struct {
+	id      uint64
+	pid     uint32
+	flags   uint32
+	number  int32
+	arch    uint32
+	pointer uint64
+	args    [6]uint64
+}
+
+// response is struct seccomp_notif_resp.
+type response struct {
+	id    uint64
+	value int64
+	errno int32
+	flags uint32
+}
+
+// answerOne takes one notification and answers it. A call that a signal has interrupted meanwhile needs no answer.
+func (i *Injector) answerOne(listener int) error {
+	var asked notification
+	if errno := ioctl(listener, unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&asked)); errno != 0 {
+		return ignoreInterrupted(errno)
+	}
+	answer := response{id: asked.id, flags: flagContinue}
+	if errno := i.policy(Call{Number: int(asked.number), Args: asked.args}); errno != 0 {
+		answer.errno, answer.flags = -int32(errno), 0
+		i.failed.Add(1)
+	}
+	return ignoreInterrupted(ioctl(listener, unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&answer)))
+}
+
+func ignoreInterrupted(errno syscall.Errno) error {
+	if errno == 0 || errno == unix.ENOENT || errno == unix.EINTR {
+		return nil
+	}
+	return fmt.Errorf("seccomp notification: %w", errno)
+}
+
+func ioctl(fd int, request uintptr, argument unsafe.Pointer) syscall.Errno {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), request, uintptr(argument))
+	return errno
+}
