A lack of this machine stops no listener, ejects no server and ends no start

Cause, three of one kind, an error of a system call read as something else: - accept: timedOut asked an error's Timeout method, and ETIMEDOUT, which accept(2) may hand on, says true there. The accept loop took it for the deadline of a drain and closed the listener for good. A connection that broke with ETIMEDOUT counted as an attempt that timed out, for the same reason. Now only os.ErrDeadlineExceeded is a deadline. - socket and connect: all but EMFILE counted as the server's failure (ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ENETDOWN), which ejected one server after another. A route that only this server's address lacks still counts as its failure. - start: only an address in use was waited for. Now descriptors and memory are too. Beside these: ENOBUFS and ENOMEM of a read or write ended the connection with its answer unwritten; it is tried again until its deadline. ppoll is repeated on EINTR, which had a client that left count as being there.

--- a/cmd/cherrygap/listen.go
+++ b/cmd/cherrygap/listen.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"cherrygap/internal/transport"
 )
 
 const (
@@ -13,14 +15,20 @@
 	addressRetry   = 100 * time.Millisecond
 )
 
-// retryWhileInUse opens one of the node's own sockets, again and again for addressTimeout while its address is in use:
-// the previous process under the same address may still have requests open. Any other error is returned at once.
-func retryWhileInUse(log *zerolog.Logger, open func() error) error {
+// retryOpen opens one of the node's own descriptors, again and again for addressTimeout while its address is in use, as
+// the previous process under the same address may still have requests open, or the machine lacks what it takes. Any other
+// error is returned at once.
+func retryOpen(log *zerolog.Logger, open func() error) error {
 	for deadline := time.Now().Add(addressTimeout); ; time.Sleep(addressRetry) {
 		err := open()
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+		inUse, short := errors.Is(err, syscall.EADDRINUSE), transport.LacksResources(err)
+		switch {
+		case !inUse && !short || time.Now().After(deadline):
 			return err
+		case inUse:
+			log.Warn().Err(err).Msg("waiting for an address in use")
+		default:
+			log.Warn().Err(err).Msg("waiting for what this machine lacks")
 		}
-		log.Warn().Err(err).Msg("waiting for an address in use")
 	}
 }
--- a/cmd/cherrygap/server_parts.go
+++ b/cmd/cherrygap/server_parts.go
@@ -17,12 +17,14 @@
 
 // openTimer opens the one timer of the decision engine.
 func (s *server) openTimer() error {
-	timer, err := transport.NewTimer()
+	err := retryOpen(&s.log, func() (err error) {
+		s.timer, err = transport.NewTimer()
+		return err
+	})
 	if err != nil {
 		return err
 	}
-	s.timer = timer
-	s.onClose(timer.Close)
+	s.onClose(s.timer.Close)
 	return nil
 }
 
@@ -31,7 +33,7 @@
 	if !s.config.Peer.IsValid() {
 		return nil
 	}
-	return retryWhileInUse(&s.log, func() (err error) {
+	return retryOpen(&s.log, func() (err error) {
 		table := protocol.NewPeerTable(s.config.Peers, s.config.PeersAll)
 		s.peers, err = transport.OpenPeerSocket(s.config.Peer, table, s.counters)
 		return err
@@ -162,7 +164,7 @@
 
 // listenHTTP begins to accept clients.
 func (s *server) listenHTTP() error {
-	return retryWhileInUse(&s.log, func() (err error) {
+	return retryOpen(&s.log, func() (err error) {
 		s.frontEnd, err = transport.Listen(s.config.Listen, s.router, s.pool, s.limits, s.authorizer, &s.log, s.counters)
 		return err
 	})
--- a/cmd/cherrygap/server_test.go
+++ b/cmd/cherrygap/server_test.go
@@ -152,7 +152,7 @@
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
-	if err := retryWhileInUse(nil, func() error { return syscall.EACCES }); !errors.Is(err, syscall.EACCES) {
+	if err := retryOpen(nil, func() error { return syscall.EACCES }); !errors.Is(err, syscall.EACCES) {
 		t.Error(err)
 	}
 }
--- a/cmd/cherrygap/syscallfault_test.go
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -20,7 +20,7 @@
 )
 
 // faultyCalls are the system calls that the tests of this file make fail.
-var faultyCalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_OPENAT, unix.SYS_PPOLL}
+var faultyCalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_OPENAT, unix.SYS_PPOLL, unix.SYS_SENDTO}
 
 // execFaultyNode puts the filter on this process and starts this program anew as a node.
 func execFaultyNode() error {
@@ -180,6 +180,33 @@
 	}
 }
 
+// TestAnswersOutlastFullBuffers: a response and an attempt that the kernel has no memory for, for a moment, are written
+// once it has.
+func TestAnswersOutlastFullBuffers(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{unix.ENOBUFS, unix.ENOMEM, unix.EINTR} {
+		t.Run(strings.ReplaceAll(errno.Error(), " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			fault := &failingCall{number: unix.SYS_SENDTO}
+			discovery := listen(t)
+			p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
+			p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+			fault.begin(errno)
+			statuses := make(chan int)
+			const requests = 4
+			for range requests {
+				go func() { statuses <- requestStatus(t, p.addr) }()
+			}
+			fault.failFor(t, errno, 3*requests)
+			for range requests {
+				if status := <-statuses; status != http.StatusOK {
+					t.Errorf("a request that met the fault ended with status %d", status)
+				}
+			}
+		})
+	}
+}
+
 // TestStartOutlastsWhatTheMachineLacks: a node whose own sockets can't be opened for a moment at its start is ready
 // once they can.
 func TestStartOutlastsWhatTheMachineLacks(t *testing.T) {
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"cherrygap/internal/protocol"
@@ -181,7 +180,7 @@
 		conn, err = r.pool.dial(ctx, decision.Server)
 		cancelled, clientLeft := r.end()
 		// What this node lacks says nothing of the server, which would be ejected for it.
-		if err != nil && (cancelled || clientLeft || errors.Is(err, errNoDescriptors) || errors.Is(err, syscall.EMFILE)) {
+		if err != nil && (cancelled || clientLeft || errors.Is(err, errShortage)) {
 			return nil, protocol.NotSent
 		}
 		if err != nil {
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -17,6 +17,7 @@
 	Completed, Rejected, Failed, ClientsGone, Denied, ResponsesUnwritten atomic.Int64
 
 	Attempts, Dials atomic.Int64 // at app servers
+	Shortages       atomic.Int64 // dials that failed as this machine lacked what they take
 	AttemptOutcomes [protocol.OutcomeCount]atomic.Int64
 
 	EndpointLists, MalformedLists                                                   atomic.Int64
@@ -67,4 +68,5 @@
 	for outcome, field := range outcomeFields {
 		event.Int64(field, c.AttemptOutcomes[outcome].Load())
 	}
+	event.Int64("dials_short_of_resources", c.Shortages.Load())
 }
--- a/internal/transport/golden_wire_test.go
+++ b/internal/transport/golden_wire_test.go
@@ -201,6 +201,7 @@
 	{"ended_withdrawn", "attempts_cancelled"},
 	{"ended_unsent", "attempts_not_sent"},
 	{"ended_spoilt", "attempts_malformed_response"},
+	{"", "dials_short_of_resources"}, // since issue 40
 }
 
 // The counters in the log: names, order, and that each is written under its own name.
@@ -215,6 +216,7 @@
 	for outcome := range counters.AttemptOutcomes {
 		all = append(all, &counters.AttemptOutcomes[outcome])
 	}
+	all = append(all, &counters.Shortages)
 	if len(all) != len(counterNames) {
 		t.Fatalf("%d counters, %d names", len(all), len(counterNames))
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,8 +34,11 @@
 	maxResetWait        = 3 * time.Millisecond
 )
 
-// errNoDescriptors is that no descriptor is left for one more connection.
-var errNoDescriptors = errors.New("no descriptor left")
+// errShortage is that this machine lacked what a connection takes, which says nothing of the server.
+var errShortage = errors.New("this machine lacks what a connection takes")
+
+// errNoDescriptors is the errShortage of a pool that is full with connections in use.
+var errNoDescriptors = fmt.Errorf("%w: no descriptor left", errShortage)
 
 // Pool keeps the connections to app servers, for each a stack of idle ones. They are of a server, not of an
 // address: one that is new may have the address of one that has gone, whose connections stand open and silent.
@@ -42,6 +47,8 @@
 	log      *zerolog.Logger
 	counters *Counters
 
+	lastConnected atomic.Pointer[time.Time] // when a connection to any server came up
+
 	mu       sync.Mutex                          // guards all below
 	idle     map[*routing.Server][]*upstreamConn // the last used is last
 	total    int                                 // idle, in use and being dialled
@@ -111,7 +118,7 @@
 	p.distrustUntil = time.Now().Add(distrustFor)
 }
 
-// dial makes a new connection. The error is errNoDescriptors where the pool is full with connections in use.
+// dial makes a new connection. The error is errShortage where this machine lacked what it takes.
 func (p *Pool) dial(ctx context.Context, server *routing.Server) (*upstreamConn, error) {
 	p.mu.Lock()
 	if p.total >= p.limits.perSide() && !p.evict() {
@@ -120,23 +127,59 @@
 	}
 	p.total++
 	p.mu.Unlock()
-	p.counters.Dials.Add(1)
-	dialer, dialledAt := net.Dialer{Timeout: p.limits.ConnectTimeout, KeepAlive: -1}, time.Now()
-	dialled, err := dialer.DialContext(ctx, "tcp", server.Addr.String())
+	conn, roundTrip, err := p.connect(ctx, server)
 	if err != nil {
 		p.mu.Lock()
 		p.total--
 		p.mu.Unlock()
 		return nil, err
 	}
-	conn := dialled.(*net.TCPConn)
+	return p.newConn(server, conn, roundTrip), nil
+}
+
+// connect connects to a server, again and again for half of ctx's time while this machine lacks what it takes: such a lack
+// passes, often in a moment, and no attempt at another server would fare better. The error is then errShortage, unless
+// other servers could be reached meanwhile and it was this one's address that the machine had no way to.
+func (p *Pool) connect(ctx context.Context, server *routing.Server) (conn *net.TCPConn, roundTrip time.Duration, err error) {
+	startedAt := time.Now()
+	deadline, _ := ctx.Deadline() // both callers set one
+	giveUpAt := startedAt.Add(deadline.Sub(startedAt) / 2)
+	for {
+		p.counters.Dials.Add(1)
+		dialer, dialledAt := net.Dialer{Timeout: p.limits.ConnectTimeout, KeepAlive: -1}, time.Now()
+		dialled, err := dialer.DialContext(ctx, "tcp", server.Addr.String())
+		if err == nil {
+			connectedAt := time.Now()
+			p.lastConnected.Store(&connectedAt)
+			return dialled.(*net.TCPConn), connectedAt.Sub(dialledAt), nil
+		}
+		if !LacksResources(err) && !lacksRoute(err) {
+			return nil, 0, err
+		}
+		p.counters.Shortages.Add(1)
+		if last := p.lastConnected.Load(); lacksRoute(err) && last != nil && last.After(startedAt) {
+			return nil, 0, err
+		}
+		if time.Now().After(giveUpAt) {
+			return nil, 0, fmt.Errorf("%w: %w", errShortage, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, fmt.Errorf("%w: %w", errShortage, err)
+		case <-time.After(shortagePause):
+		}
+	}
+}
+
+// newConn makes a connection that is up the Pool's.
+func (p *Pool) newConn(server *routing.Server, conn *net.TCPConn, roundTrip time.Duration) *upstreamConn {
 	size, reader, now := p.limits.bufferSize(), newSocket(conn), time.Now()
 	return &upstreamConn{
 		conn: conn, reader: reader, server: server,
 		in: newRingBuffer(conn, reader, size), out: newRingBuffer(conn, newSocket(conn), size),
 		openedAt: now, idleSince: now,
-		resetWait: min(max(resetWaitRoundTrips*now.Sub(dialledAt), minResetWait), maxResetWait),
-	}, nil
+		resetWait: min(max(resetWaitRoundTrips*roundTrip, minResetWait), maxResetWait),
+	}
 }
 
 // put takes a connection back. One that carried nothing since get has been idle all along: its server's clock has run on.
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 	"unsafe"
 )
 
@@ -43,20 +44,26 @@
 
 // Read waits until there is something to read, and reads once.
 func (s *socket) Read(p []byte) (int, error) {
-	s.buf = p
-	if err := s.raw.Read(s.readFD); err != nil {
-		return 0, err
+	for s.buf = p; ; time.Sleep(shortagePause) {
+		if err := s.raw.Read(s.readFD); err != nil {
+			return 0, err
+		}
+		if !LacksResources(s.err) {
+			return s.moved, s.err
+		}
 	}
-	return s.moved, s.err
 }
 
-// Write writes all of p.
+// Write writes all of p. While the machine lacks the memory for it, it goes on trying until the write deadline.
 func (s *socket) Write(p []byte) (int, error) {
 	for s.buf = p; len(s.buf) > 0; s.buf = s.buf[s.moved:] {
 		if err := s.raw.Write(s.writeFD); err != nil {
 			return len(p) - len(s.buf), err
 		}
-		if s.err != nil {
+		switch {
+		case LacksResources(s.err):
+			time.Sleep(shortagePause)
+		case s.err != nil:
 			return len(p) - len(s.buf), s.err
 		}
 	}
@@ -112,9 +119,12 @@
 		fd           int32
 		want, events int16
 	}{int32(fd), pollRDHUP, 0}
-	var timeout syscall.Timespec
-	n, _, errno := syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&asked)), 1,
-		uintptr(unsafe.Pointer(&timeout)), 0, 0, 0)
+	n, errno := uintptr(0), syscall.EINTR
+	for errno == syscall.EINTR {
+		var timeout syscall.Timespec // the call may change it
+		n, _, errno = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&asked)), 1,
+			uintptr(unsafe.Pointer(&timeout)), 0, 0, 0)
+	}
 	s.ended = errno == 0 && n == 1 && asked.events&pollEnded != 0
 }
 
@@ -159,11 +169,11 @@
 	return true
 }
 
-// tryPeek never has to wait: what it finds is in idle and ended.
+// tryPeek never has to wait: what it finds is in idle and ended. Where the machine lacks the memory to look it is neither.
 func (s *socket) tryPeek(fd uintptr) bool {
 	n, errno := call(syscall.SYS_RECVFROM, fd, s.peekedAt[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	s.idle = errno == syscall.EAGAIN
-	s.ended = errno != 0 && !s.idle || errno == 0 && n == 0
+	s.ended = errno != 0 && !LacksResources(errno) || errno == 0 && n == 0
 	return true
 }
 
--- a/internal/transport/sockopt.go
+++ b/internal/transport/sockopt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 )
 
@@ -26,14 +27,9 @@
 // readDeadliner is what a ringBuffer needs of the connection that it reads.
 type readDeadliner interface{ SetReadDeadline(time.Time) error }
 
-// timedOut reports whether an error is that a deadline passed.
-func timedOut(err error) bool {
-	if err == nil {
-		return false // most calls; the target below costs an allocation
-	}
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
+// timedOut reports whether an error is that a deadline of the node's own passed. ETIMEDOUT of a system call, whose Timeout
+// method says true as well, is none: the connection broke, or accept(2) hands on what befell one that waited.
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // earlier is the earlier of two times.
 func earlier(a, b time.Time) time.Time {
