Failing tests: pipelined requests, a drain behind them, and clocks that were stepped

Read for crossings: a drain with requests that were read ahead, a request that waits behind another, a time stamp of another machine with this node's wall clock, restarts one after another while a server warms up.

Measured: of four requests sent at once, 400 ms of work each and 1 s of time, the last two are answered 0.20 and 0.60 s late and tell their server 0.38 and 0.78 s more than is left. A drain answers the first of three pipelined requests with a close and closes on the two that were read. With clocks 1 h or 5 s ahead 3 of 168 plays overload a warming server.

--- a/internal/routing/slowstart_fleet_test.go
+++ b/internal/routing/slowstart_fleet_test.go
@@ -39,6 +39,9 @@
 	slowStartSpan time.Duration // until it has all of it
 	objective     time.Duration // of latency
 
+	clockWrongBy time.Duration // how far the nodes' clocks are ahead of all others
+	rollNodes    bool          // they restart one after another while servers warm up
+
 	startAt, endAt     time.Duration
 	arrived, completed int // requests since startAt
 }
@@ -191,7 +194,7 @@
 	n.router = New(Config{
 		Seed:          p.rng.Uint64(),
 		Settings:      set,
-		Clock:         func() time.Time { return playEpoch.Add(p.clock) },
+		Clock:         func() time.Time { return playEpoch.Add(p.clock + p.clockWrongBy) },
 		OnDecision:    func(req *Request) { n.ready = append(n.ready, req) },
 		SetTimer:      n.setTimer,
 		PollEndpoints: func() {},
--- a/internal/routing/slowstart_scenes_test.go
+++ b/internal/routing/slowstart_scenes_test.go
@@ -51,6 +51,9 @@
 		}
 	}
 	p.after(p.startAt, s.startServers)
+	if p.rollNodes {
+		s.rollingRestart()
+	}
 }
 
 // scheduleScene sets up what only the play's first scene has.
--- /dev/null
+++ b/internal/transport/pipelining_test.go
@@ -0,0 +1,107 @@
+package transport
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cherrygap/internal/settings"
+)
+
+// budgetSlack is what an attempt may tell its server on top of the time that is left to the client.
+const budgetSlack = 150 * time.Millisecond
+
+// Each request that a client sends behind others has its time from when it was sent, however long the others take: no
+// attempt tells its server more than is left, and what is late is answered at once.
+func TestPipelinedRequestsKeepTheirOwnTime(t *testing.T) {
+	const requests, timeout, work = 4, time.Second, 400 * time.Millisecond
+	var mu sync.Mutex
+	var sentAt time.Time
+	var overstated []time.Duration
+	node := startNode(t, settings.RetrySafe, roomyLimits, 1, func(conn net.Conn, request *http.Request) bool {
+		told, _ := strconv.Atoi(request.Header.Get("X-Budget-Ms"))
+		mu.Lock()
+		overstated = append(overstated, time.Duration(told)*time.Millisecond-(timeout-time.Since(sentAt)))
+		mu.Unlock()
+		time.Sleep(work)
+		return echo(conn, request)
+	})
+	conn := node.dial(t)
+	mu.Lock()
+	sentAt = time.Now()
+	mu.Unlock()
+	writeString(conn, pipelined(requests, int(timeout.Milliseconds())))
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		discardAll(response.Body)
+		if late := time.Since(sentAt) - timeout; late > budgetSlack {
+			t.Errorf("request %d answered %v late", i, late)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for i, more := range overstated {
+		if more > budgetSlack {
+			t.Errorf("attempt %d told its server %v more than was left", i, more)
+		}
+	}
+}
+
+// pipelined is so many requests behind each other.
+func pipelined(requests, timeout int) string {
+	var text strings.Builder
+	for range requests {
+		text.WriteString(requestText(timeout, "x"))
+	}
+	return text.String()
+}
+
+// Requests that were read while one before them waited are answered, also where the node drains meanwhile.
+func TestDrainAnswersWhatWasReadAhead(t *testing.T) {
+	const requests = 3
+	began := make(chan struct{}, requests)
+	goOn := make(chan struct{})
+	node := startNode(t, settings.RetrySafe, roomyLimits, 1, func(conn net.Conn, request *http.Request) bool {
+		began <- struct{}{}
+		<-goOn
+		return echo(conn, request)
+	})
+	conn := node.dial(t)
+	writeString(conn, pipelined(requests, 3000))
+	<-began
+	var client *clientConn
+	node.server.mu.Lock()
+	for c := range node.server.clients {
+		client = c
+	}
+	node.server.mu.Unlock()
+	eventually(t, "a second request read", func() bool { return !hasUnread(client.conn) })
+	drained := node.startDrain(10 * time.Millisecond)
+	eventually(t, "the drain", node.server.draining.Load)
+	close(goOn)
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d, which was read, was not answered: %v", i, err)
+		}
+		discardAll(response.Body)
+		if last := i == requests-1; response.Close != last {
+			t.Errorf("response %d: closes %v", i, response.Close)
+		}
+	}
+	if _, err := io.ReadAll(reader); err != nil {
+		t.Errorf("%v instead of a close", err)
+	}
+	waitDrained(t, drained, 3*time.Second)
+}
