Test of new connections that break: a close that comes late is checked and played again

Cause: the app server of the test closes on a goroutine; where that is later than the 0.3 to 3 ms for which the node waits before the last byte, the request was written whole, may have run and is rightly answered 502.

--- a/internal/transport/attempt_test.go
+++ b/internal/transport/attempt_test.go
@@ -99,17 +99,38 @@
 	}
 }
 
-// A server that accepts and closes is tried twice; then it is as if no connection came up.
+// A server that accepts and closes is tried twice; then it is as if no connection came up. Where the server's goroutine is
+// so late with a close that the whole request was written before, the request may have run: that play is checked for
+// this, and played again.
 func TestNewConnectionsThatBreak(t *testing.T) {
+	const plays = 10 // of which 1 in 500 has such a close
+	for range plays {
+		if playNewConnectionsThatBreak(t) {
+			return
+		}
+	}
+	t.Errorf("the server closed late in each of %d plays", plays)
+}
+
+// playNewConnectionsThatBreak reports whether the server closed in time.
+func playNewConnectionsThatBreak(t *testing.T) bool {
+	t.Helper()
 	listener := listen(t)
 	var accepted atomic.Int64
 	go serveConns(listener, func(net.Conn) { accepted.Add(1) })
 	node := startNode(t, settings.RetryUnsafe, roomyLimits, 0, nil)
 	node.listOnly(endpoint("s", listener))
 	status, _, _ := roundTrip(t, node.dial(t), requestText(3000, "x"))
+	if reset := node.counters.AttemptOutcomes[protocol.ConnectionReset].Load(); reset > 0 {
+		if status != 502 || reset != 1 {
+			t.Errorf("status %d, %d attempts that may have run", status, reset)
+		}
+		return false
+	}
 	if failed := node.counters.AttemptOutcomes[protocol.ConnectFailed].Load(); status != 503 || failed == 0 || accepted.Load() != maxNewConns*failed {
 		t.Errorf("status %d, %d connections in %d attempts", status, accepted.Load(), failed)
 	}
+	return true
 }
 
 func TestSilentServerTimesOut(t *testing.T) {
