A connection is closed only where nothing that was read waits for an answer

Cause: four places closed a client's connection (a response's close, a drain, an eviction, a health check), each by its own look at flags that two goroutines write. And a request behind others got its time when the one before it was handed over.

Change: closeGuard, one state of a connection, kept under a lock with each read. Whoever closes asks it; from its yes on nothing is read. Responses close only where nothing was read behind their request. A connection with unread bytes or an unacknowledged response is neither evicted nor closed by a drain. arrivalMarks keep when bytes were read. Times of idle connections are compared by the monotonic clock.

Decisions: a pipelined request has less time than it was taken to have; else none changed.

--- a/cmd/cherrygap/syscallfault_test.go
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -65,10 +65,10 @@
 }
 
 // faultyProcess readies a node in a process of its own whose system calls a policy decides on; start starts it.
-func faultyProcess(t *testing.T, policy syscallfault.Policy, discovery string, servers ...net.Listener) *process {
+func faultyProcess(t *testing.T, policy syscallfault.Policy, discovery string, servers ...net.Listener) (p *process, file string) {
 	t.Helper()
-	p := &process{addr: freeAddress(t)}
-	file := filepath.Join(t.TempDir(), "config.json")
+	p = &process{addr: freeAddress(t)}
+	file = filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, file, processConfig(p.addr, discovery, 1024, servers))
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), asNode+"=1", asFaultyNode+"=1", envConfig+"="+file)
@@ -89,7 +89,7 @@
 			t.Error(err)
 		}
 	})
-	return p
+	return p, file
 }
 
 // echoServer is an app server that answers every request.
@@ -120,7 +120,7 @@
 	t.Parallel()
 	fault := &failingCall{number: unix.SYS_ACCEPT4}
 	discovery := listen(t)
-	p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
+	p, _ := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
 	p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
 	for _, errno := range []syscall.Errno{
 		unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPROTO, unix.EPERM, unix.EINTR,
@@ -155,7 +155,7 @@
 				t.Parallel()
 				fault := &failingCall{number: c.number}
 				discovery := listen(t)
-				p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t), echoServer(t))
+				p, _ := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t), echoServer(t))
 				p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
 				fault.begin(errno)
 				statuses := make(chan int)
@@ -189,7 +189,7 @@
 			t.Parallel()
 			fault := &failingCall{number: unix.SYS_SENDTO}
 			discovery := listen(t)
-			p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
+			p, _ := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
 			p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
 			fault.begin(errno)
 			statuses := make(chan int)
@@ -217,7 +217,7 @@
 			fault := &failingCall{number: unix.SYS_SOCKET}
 			fault.begin(errno)
 			discovery := listen(t)
-			p := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
+			p, _ := faultyProcess(t, fault.decide, discovery.Addr().String(), echoServer(t))
 			fault.failFor(t, errno, 2)
 			p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
 			if status := requestStatus(t, p.addr); status != http.StatusOK {
@@ -226,3 +226,34 @@
 		})
 	}
 }
+
+// TestReloadOutlastsWhatTheMachineLacks: a SIGHUP whose configuration can't be opened for a moment still moves discovery.
+func TestReloadOutlastsWhatTheMachineLacks(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{unix.ENFILE, unix.EMFILE, unix.ENOMEM, unix.EIO} {
+		t.Run(strings.ReplaceAll(errno.Error(), " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			fault := &failingCall{number: unix.SYS_OPENAT}
+			before, after := listen(t), listen(t)
+			called := make(chan struct{})
+			go func() {
+				if conn, err := after.Accept(); err == nil {
+					_ = conn.Close()
+					close(called)
+				}
+			}()
+			server := echoServer(t)
+			p, file := faultyProcess(t, fault.decide, before.Addr().String(), server)
+			p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+			writeFile(t, file, processConfig(p.addr, after.Addr().String(), 1024, []net.Listener{server}))
+			fault.begin(errno)
+			send(t, p.cmd.Process, syscall.SIGHUP)
+			fault.failFor(t, errno, 1)
+			select {
+			case <-called:
+			case <-time.After(5 * time.Second):
+				t.Error("discovery was not moved")
+			}
+		})
+	}
+}
--- a/internal/transport/buffer.go
+++ b/internal/transport/buffer.go
@@ -38,6 +38,7 @@
 	allowed       int           // bytes that a message may still take
 	err           error         // of the stream: it stays, but for readMore
 	deadlineSet   bool          // a read deadline bounds the message being read
+	arrivals      *arrivalMarks // of what is in it; nil where nobody asks
 }
 
 func newRingBuffer(conn readDeadliner, stream io.ReadWriter, size int) ringBuffer {
@@ -72,6 +73,8 @@
 	b.filled += n
 	if n == 0 {
 		b.err = err
+	} else if b.arrivals != nil {
+		b.arrivals.add(b.filled, time.Now())
 	}
 }
 
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -27,12 +27,14 @@
 	reader  *socket // under in
 	writer  *socket // under out
 	in, out ringBuffer
+	guard   closeGuard // of what was read
 
 	handler     *RequestHandler // nil before the first request
 	request     protocol.Request
 	lengthLines protocol.ContentLengthScanner // of the head being read
 	body        []byte                        // kept from request to request
 	receivedAt  time.Time                     // when the request's first byte was read
+	arrivals    arrivalMarks                  // of the bytes in the ring
 	acceptedAt  time.Time
 	waitedSince time.Time // it waited for a slot since, and its first request with it; zero: it did not
 	requests    int       // so far
@@ -42,13 +44,11 @@
 	pending chan struct{} // a request is to be handled
 	handled chan struct{} // it was
 
-	responseDue    atomic.Bool // a request is open
-	idle           atomic.Bool // between requests, or before the first is whole: who sets it to false may close
-	hasRequested   atomic.Bool // a whole request was read
-	requestStarted atomic.Bool // the first bytes of the first request were read
-	readingAhead   atomic.Bool // the request waits, and serve reads what the client sent behind it
-	overflowed     atomic.Bool // that was more than the buffer holds: the response is the connection's last
-	idleSince      atomic.Int64
+	responseDue  atomic.Bool  // a request is open
+	hasRequested atomic.Bool  // a whole request was read
+	readingAhead atomic.Bool  // the request waits, and serve reads what the client sent behind it
+	overflowed   atomic.Bool  // that was more than the buffer holds: the response is the connection's last
+	idleSince    atomic.Int64 // time since acceptedAt, in nanoseconds
 
 	closeOnce sync.Once // guards reason
 	reason    closeReason
@@ -56,7 +56,8 @@
 
 func newClientConn(server *Server, conn *net.TCPConn) *clientConn {
 	c := &clientConn{server: server, conn: conn, acceptedAt: time.Now(), reader: newSocket(conn), writer: newSocket(conn)}
-	c.in, c.out = ringBuffer{conn: conn, stream: c.reader}, ringBuffer{conn: conn, stream: c.writer}
+	c.reader.guard = &c.guard
+	c.in, c.out = ringBuffer{conn: conn, stream: c.reader, arrivals: &c.arrivals}, ringBuffer{conn: conn, stream: c.writer}
 	_ = conn.SetKeepAlive(false)                            // fails for a closed connection only
 	setReadDeadline(conn, c.acceptedAt.Add(messageTimeout)) // who sends nothing, or never all of it, is closed
 	c.in.deadlineSet = true
@@ -95,17 +96,25 @@
 	logClose(c.server.log, sideClient, c.conn.RemoteAddr().String(), c.reason, c.acceptedAt, c.requests)
 }
 
-// markIdle marks the connection as one that may be closed to make room.
+// markIdle notes since when the connection is idle: it may be closed to make room.
 func (c *clientConn) markIdle() {
-	c.idleSince.Store(time.Now().UnixNano())
-	c.idle.Store(true)
+	c.idleSince.Store(int64(time.Since(c.acceptedAt)))
 	if c.server.atLimit.Load() {
 		c.server.evict()
 	}
 }
 
-// leaveIdle reports whether the connection is still open; from then on it is not closed to make room.
-func (c *clientConn) leaveIdle() bool { return c.idle.CompareAndSwap(true, false) }
+// idleSinceTime is when the connection became idle.
+func (c *clientConn) idleSinceTime() time.Time {
+	return c.acceptedAt.Add(time.Duration(c.idleSince.Load()))
+}
+
+// evictable reports whether the connection may be closed to make room. Half of a first request holds no slot.
+func (c *clientConn) evictable() bool { return c.guard.mayClose(!c.hasRequested.Load()) }
+
+// mustStayOpen reports whether bytes of either side would be lost by a close: a request that waits unread, or a response
+// that the client has not taken in yet.
+func (c *clientConn) mustStayOpen() bool { return hasUnread(c.conn) || c.writer.hasUnacknowledged() }
 
 // serveNext waits for the next request, reads it and hands it over, and reports whether there may be another. While a
 // request is being handled it waits too, and so notices a client that disconnects.
@@ -117,14 +126,12 @@
 			return c.linger()
 		}
 	}
+	if arrivedAt := c.arrivals.of(c.in.taken); !arrivedAt.IsZero() { // it may have waited behind others
+		receivedAt = arrivedAt
+	}
 	if !c.waitedSince.IsZero() { // the client's time ran while its connection waited for a slot
 		receivedAt, c.waitedSince = c.waitedSince, time.Time{}
 	}
-	c.requestStarted.Store(err == nil)
-	// Until its first request is whole a connection may be closed for others: half of one must hold no slot.
-	if c.hasRequested.Load() && !c.leaveIdle() {
-		return false
-	}
 	if err != nil {
 		reason := reasonClientClosed
 		if abandoned {
@@ -134,11 +141,7 @@
 		return false
 	}
 	c.receivedAt = receivedAt
-	err = c.readRequest()
-	if !c.hasRequested.Load() && !c.leaveIdle() {
-		return false
-	}
-	return c.takeRequest(err)
+	return c.takeRequest(c.readRequest())
 }
 
 // takeRequest answers or hands over a request that was read, or refuses it where err says that it could not be. It
@@ -154,6 +157,7 @@
 		return c.rejectMalformed(err)
 	}
 	c.hasRequested.Store(true)
+	c.guard.requestRead(!c.in.empty())
 	if c.request.ForNode() {
 		return c.answerHealthCheck()
 	}
@@ -264,7 +268,7 @@
 	setReadDeadline(c.conn, time.Now().Add(lingerTimeout))
 	_ = c.conn.CloseWrite()     // fails for a connection that has ended already, as the copy does then
 	c.hasRequested.Store(false) // from here on it may be closed for others
-	c.idle.Store(true)
+	c.guard.linger()
 	_, _ = io.Copy(io.Discard, c.conn) // until the client closes, or its time is over
 	c.close(reasonClientMalformed)
 	return false
--- a/internal/transport/clientresponse.go
+++ b/internal/transport/clientresponse.go
@@ -26,7 +26,8 @@
 
 // answerHealthCheck tells whether the node can take requests, and reports whether the connection stays.
 func (c *clientConn) answerHealthCheck() bool {
-	response := protocol.ClientResponse{Status: http.StatusOK, Close: c.request.Close || c.server.draining.Load()}
+	closes := c.request.Close || c.server.draining.Load() && c.guard.closeWithResponse()
+	response := protocol.ClientResponse{Status: http.StatusOK, Close: closes}
 	if c.server.draining.Load() || !c.server.router.HasServers() {
 		response.Status = http.StatusServiceUnavailable
 	}
@@ -38,6 +39,7 @@
 	if response.Close {
 		c.close(reasonClientRequestedClose)
 	}
+	c.guard.answered()
 	c.markIdle()
 	return !response.Close
 }
@@ -58,6 +60,7 @@
 			setReadDeadline(c.conn, pastDeadline) // wakes serve: it reads ahead no more
 		}
 		if !c.overflowed.Load() {
+			c.guard.answered()
 			c.markIdle()
 		}
 		c.handled <- struct{}{}
@@ -73,7 +76,7 @@
 		return
 	}
 	c.responseDue.Store(false)
-	response.Close = c.request.Close || c.server.draining.Load() || c.server.nearLimit() || c.overflowed.Load()
+	response.Close = c.request.Close || c.overflowed.Load() || c.server.wantsClose() && c.guard.closeWithResponse()
 	setWriteDeadline(c.conn, c.receivedAt.Add(c.request.Timeout+responseTimeout))
 	switch {
 	case !c.writeResponse(&response):
--- a/internal/transport/drain_test.go
+++ b/internal/transport/drain_test.go
@@ -76,7 +76,7 @@
 			node.server.mu.Lock()
 			defer node.server.mu.Unlock()
 			for client := range node.server.clients {
-				return client.idle.Load()
+				return client.guard.is(phaseIdle)
 			}
 			return false
 		})
@@ -124,7 +124,7 @@
 		defer node.server.mu.Unlock()
 		halves := 0
 		for client := range node.server.clients {
-			if client.sendsFirst() {
+			if client.guard.is(phaseAwaitingRest) {
 				halves++
 			}
 		}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -139,16 +139,29 @@
 	if s.evicting {
 		return
 	}
+	var passedOver map[*clientConn]bool // bytes are on their way there: made only where there is such a one
+	for first := s.firstToEvict(nil); first != nil; first = s.firstToEvict(passedOver) {
+		if !first.mustStayOpen() && first.guard.tryClose(!first.hasRequested.Load()) {
+			s.evicting, first.evicted = true, true
+			first.close(reasonEvicted)
+			return
+		}
+		if passedOver == nil {
+			passedOver = map[*clientConn]bool{}
+		}
+		passedOver[first] = true
+	}
+}
+
+// firstToEvict is the connection to be evicted before all others, but for those passed over; nil where none is idle.
+func (s *Server) firstToEvict(passedOver map[*clientConn]bool) *clientConn {
 	var first *clientConn
 	for client := range s.clients {
-		if client.idle.Load() && (first == nil || client.evictedBefore(first)) {
+		if !passedOver[client] && client.evictable() && (first == nil || client.evictedBefore(first)) {
 			first = client
 		}
 	}
-	if first != nil && first.leaveIdle() {
-		s.evicting, first.evicted = true, true
-		first.close(reasonEvicted)
-	}
+	return first
 }
 
 // evictionRank orders connections by what they did since they came. The lowest is evicted first.
@@ -175,13 +188,16 @@
 	if mine, others := c.evictionRank(), other.evictionRank(); mine != others {
 		return mine < others
 	}
-	return c.idleSince.Load() < other.idleSince.Load()
+	return c.idleSinceTime().Before(other.idleSinceTime())
 }
 
 // nearLimit reports whether so many connections are open that each response is to be its connection's last: among
 // clients that ask once and stay, one that may go again keeps nobody out. Usual loads are far below it.
 func (s *Server) nearLimit() bool { return 2*len(s.slots) > cap(s.slots) }
 
+// wantsClose reports whether responses are to be their connections' last.
+func (s *Server) wantsClose() bool { return s.draining.Load() || s.nearLimit() }
+
 // Drain shuts the server down. It answers what comes with a close, goes on accepting for a while, accepts what waits
 // in the listener's queue, then closes what is idle, and returns once every client has its response.
 func (s *Server) Drain(accept time.Duration) {
@@ -208,17 +224,12 @@
 }
 
 // closeIdle closes the connections that are idle, but for those with a request on the way: one that has only come has
-// its time to send one, one whose first request has begun may finish it, and where bytes wait unread they are read first.
+// its time to send one, one whose request has begun may finish it, and where bytes wait unread they are read first.
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for client := range s.clients {
-		if !client.idle.Load() || client.mayStillSend() || hasUnread(client.conn) {
-			continue
-		}
-		// Bytes that came before that look and are there no more have been read: then serve is at them, or has said so.
-		// The order of these looks is serve's own backwards.
-		if !client.reader.reading.Load() && !client.sendsFirst() && client.leaveIdle() {
+		if !client.mayStillSend() && !client.mustStayOpen() && client.guard.tryClose(false) {
 			client.close(reasonNodeDraining)
 		}
 	}
@@ -228,6 +239,3 @@
 func (c *clientConn) mayStillSend() bool {
 	return !c.hasRequested.Load() && time.Since(c.acceptedAt) < firstByteTimeout
 }
-
-// sendsFirst reports whether the first request has come in part.
-func (c *clientConn) sendsFirst() bool { return !c.hasRequested.Load() && c.requestStarted.Load() }
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -14,10 +13,11 @@
 // they never block: net waits for the socket to be ready. On one core each call that the scheduler is notified of wakes
 // its monitor thread, which took a quarter of the node's CPU time (docs/results.md).
 //
-// One goroutine uses a socket at a time, but for reading, which any may load. What a call needs and gives is passed in
-// fields, and the functions are made once, so that no call allocates.
+// One goroutine uses a socket at a time. What a call needs and gives is passed in fields, and the functions are made once,
+// so that no call allocates.
 type socket struct {
-	raw syscall.RawConn
+	raw   syscall.RawConn
+	guard *closeGuard // of a client's connection that is read; nil for others
 
 	buf   []byte // what is to be read into or written
 	moved int    // how much was
@@ -26,7 +26,6 @@
 	idle      bool // as of the last peek: open with nothing to read
 	ended     bool // as of the last peek or hang-up check: closed or reset by the other side
 	peekedAt  [1]byte
-	reading   atomic.Bool // bytes are being read, or were and nobody has waited for more since
 	readFD    func(fd uintptr) bool
 	writeFD   func(fd uintptr) bool
 	peekFD    func(fd uintptr) bool // for RawConn.Read
@@ -144,10 +143,15 @@
 // The functions below make one system call each; they return false where the socket has to be waited for.
 
 func (s *socket) tryRead(fd uintptr) bool {
-	s.reading.Store(true)
+	if s.guard != nil && !s.guard.beginRead() {
+		s.moved, s.err = 0, net.ErrClosed
+		return true
+	}
 	n, errno := call(syscall.SYS_READ, fd, s.buf, 0)
+	if s.guard != nil {
+		s.guard.endRead(errno == 0 && n > 0, errno == syscall.EAGAIN)
+	}
 	if errno == syscall.EAGAIN {
-		s.reading.Store(false)
 		return false
 	}
 	if s.moved, s.err = n, nil; errno != 0 {
