Slow start no longer rests on this node's wall clock being the servers'

Cause: the list's times of start are of the servers' clock, and were compared with this node's, as it was at its start. One that was stepped ahead before took each cold server for a warm one; one that was behind held a new server cold, and its budget, which drains from the start on, empty, for as long as the clock was behind (an hour, for a step of one).

Change: a server is as old as this node has known its process, at least. How far the clock is ahead is bounded by each sign of the servers' clock: a start that becomes known while the node follows the list, and discovery's Date. Past one recovery span, which lists may take to come, times of start are put off by the least of these bounds.

Open: a node started by a clock that is ahead, with a discovery that sends no Date, takes the servers of its first list for warm until one more starts.

--- a/internal/decision/endpoints.go
+++ b/internal/decision/endpoints.go
@@ -9,6 +9,7 @@
 type server struct {
 	Endpoint
 	listed         bool
+	knownAt        Time   // when the list first named this process of it
 	live           bool   // the slot is in use
 	inSubset       bool   // among those that this node uses first
 	inView         bool   // among those that it may send to
--- a/internal/decision/engine.go
+++ b/internal/decision/engine.go
@@ -2,16 +2,17 @@
 
 // Engine decides for one node: it holds all that the node knows.
 type Engine struct {
-	config    *config
-	now       Time
-	random    random
-	shadow    *shadow // nil: off
-	classes   []classState
-	endpoints endpointSet
-	requests  requestTable
-	customers customerTable
-	outbox    outbox
-	scratch   []byte // of the last payload
+	config      *config
+	now         Time
+	random      random
+	shadow      *shadow // nil: off
+	classes     []classState
+	endpoints   endpointSet
+	requests    requestTable
+	followsList bool // a list has come from discovery: what is new in the next ones is new
+	customers   customerTable
+	outbox      outbox
+	scratch     []byte // of the last payload
 
 	admission admissionLimit
 	quota     tenantQuota
@@ -86,6 +87,9 @@
 	}
 	for _, endpoint := range list {
 		i := e.updateServer(endpoint, max(len(list), set.ready))
+		if s := &set.servers[i]; s.knownAt == e.now && s.Started > 0 && s.usable() && e.followsList {
+			e.slowStart.observeClock(s.Started, e.now)
+		}
 		if kind == ListUpdate {
 			set.order.place(&set.servers[i], i)
 		}
@@ -94,21 +98,25 @@
 		}
 	}
 	set.countReady(kind != ListUpdate)
+	e.followsList = e.followsList || kind != CachedList
 	e.chooseSubset()
 }
 
+// ObserveServerClock notes a time that the servers' clock said a moment ago: that of their times of start.
+func (e *Engine) ObserveServerClock(at Time) { e.slowStart.observeClock(at, e.now) }
+
 // updateServer takes in one entry of a list of so many servers.
 func (e *Engine) updateServer(endpoint Endpoint, servers int) serverSlot {
 	i := e.endpoints.slots.find(endpoint.Server)
 	if i < 0 {
-		s := server{Endpoint: endpoint}
+		s := server{Endpoint: endpoint, knownAt: e.now}
 		e.slowStart.started(&s, &e.random)
 		e.selection.join(&s, servers, &e.random)
 		i = e.endpoints.add(s)
 	}
 	s := &e.endpoints.servers[i]
 	if s.Started != endpoint.Started { // a new process: what the old one did says nothing
-		s.pace = decayingMean{}
+		s.pace, s.knownAt = decayingMean{}, e.now
 		e.slowStart.started(s, &e.random)
 		for k := range s.byClass {
 			s.byClass[k] = outlierState{inFlight: s.byClass[k].inFlight}
--- a/internal/decision/measures.go
+++ b/internal/decision/measures.go
@@ -57,7 +57,7 @@
 // a pause counts for a span at most: many nodes that were idle would else all send together.
 func (l *slowStart) drain(s *server, now Time, subsetRatio float64) {
 	st := &s.slowStart
-	if span := l.config.recoverySpan; span > 0 && st.at >= s.Started {
+	if span := l.config.recoverySpan; span > 0 && st.at >= l.startedAt(s) {
 		st.sent = max(0, st.sent-l.budget(s, now, subsetRatio)*float64(min(now-st.at, span))/float64(span))
 	}
 	st.at = now
--- a/internal/decision/slowstart.go
+++ b/internal/decision/slowstart.go
@@ -12,15 +12,43 @@
 	rates           []float64    // recent rates by a warm server, of those that there were then,
 	lastWarmServers float64      // or as of the interval before
 	completedSizes  decayingMean // listed sizes of the servers that completed attempts
+	clockBound      Time         // this node's clock is ahead of the servers' by that at most, as far as was seen,
+	clockSeen       bool         // if anything was
+}
+
+// observeClock notes that the servers' clock said a time, or one before that, when this node's says now. Of a server that
+// starts under this node's eyes the start is such a time.
+func (l *slowStart) observeClock(at, now Time) {
+	if ahead := now - at; !l.clockSeen || ahead < l.clockBound {
+		l.clockBound, l.clockSeen = ahead, true
+	}
+}
+
+// startedAt is when a server started, by this node's clock; 0: long ago. The list has it by the servers' clock. Where this
+// node's is ahead, as one that was stepped, by more than a list takes to come, the latest sign of the servers' clock counts;
+// where it is behind, a server has run since the list named it, whatever the time of its start says.
+func (l *slowStart) startedAt(s *server) Time {
+	if s.Started <= 0 {
+		return 0
+	}
+	at := s.Started
+	if l.clockSeen && l.clockBound > Time(clockTolerance*float64(l.config.recoverySpan)) {
+		at += l.clockBound
+	}
+	if s.knownAt > 0 {
+		at = min(at, s.knownAt)
+	}
+	return at
 }
 
 // weight is the least share of its capacity that a server has by now; 1: it is warm.
 func (l *slowStart) weight(s *server, now Time) float64 {
 	span, least := l.config.slowStartSpan, l.config.slowStartShare
-	if s.Started <= 0 || span <= 0 || now >= s.Started+span {
+	startedAt := l.startedAt(s)
+	if startedAt <= 0 || span <= 0 || now >= startedAt+span {
 		return 1
 	}
-	return least + (1-least)*max(0, float64(now-s.Started)/float64(span))
+	return least + (1-least)*max(0, float64(now-startedAt)/float64(span))
 }
 
 // hasRoom keeps the budget alone: this node's share, and few in flight at once. A share below one is a rate:
--- /dev/null
+++ b/internal/decision/slowstart_clock_test.go
@@ -0,0 +1,82 @@
+package decision
+
+import (
+	"testing"
+
+	"cherrygap/internal/settings"
+)
+
+// newWarmingEngine is an engine by a clock that is ahead of the servers', which knows one warm server by a list of
+// discovery's.
+func newWarmingEngine(ahead Time) (e *Engine, now Time) {
+	now = 10_000*Second + ahead
+	e = New(1, Settings{
+		settings.Nodes: "4", settings.Tick: "40", settings.ClassCount: "1",
+		settings.ClassKey(0, settings.ClassLatencyObjective): "6000",
+		settings.ClassKey(0, settings.ClassRetrySafety):      settings.RetrySafe, settings.PlanCount: "1",
+		settings.SlowStartSpan: "180000", settings.SlowStartShare: "0.25", settings.OverloadMultiple: "4",
+		settings.OverloadSpan: "20000",
+	}, now)
+	e.UpdateEndpoints(FullList, []Endpoint{{Server: 1, State: Ready, Weight: 1}})
+	return e, now
+}
+
+func (e *Engine) weightOf(id ServerID) float64 {
+	return e.slowStart.weight(&e.endpoints.servers[e.endpoints.slots.find(id)], e.now)
+}
+
+// A server that starts while this node follows the list is cold, and warm a span later, whatever the node's clock says.
+func TestWarmingByAClockThatIsWrong(t *testing.T) {
+	for _, ahead := range []Time{0, 3600 * Second, -3600 * Second, 5 * Second, -5 * Second} {
+		e, now := newWarmingEngine(ahead)
+		e.SetTime(now + Second)
+		e.UpdateEndpoints(ListUpdate, []Endpoint{{Server: 2, State: Ready, Weight: 1, Started: e.now - ahead - Second/10}})
+		if weight := e.weightOf(2); weight < 0.25 || weight > 0.26 {
+			t.Errorf("clock ahead by %d: weight %v right after the start", ahead, weight)
+		}
+		if weight := e.weightOf(1); weight != 1 {
+			t.Errorf("clock ahead by %d: weight %v of one that runs for long", ahead, weight)
+		}
+		e.SetTime(now + Second + 90000)
+		if weight := e.weightOf(2); weight < 0.6 || weight > 0.65 {
+			t.Errorf("clock ahead by %d: weight %v after half the span", ahead, weight)
+		}
+		e.SetTime(now + Second + 180000)
+		if weight := e.weightOf(2); weight != 1 {
+			t.Errorf("clock ahead by %d: weight %v after the span", ahead, weight)
+		}
+	}
+}
+
+// A node that starts by a wrong clock knows by discovery's own which of the servers that run already are cold.
+func TestWarmingByDiscoverysClock(t *testing.T) {
+	for _, ahead := range []Time{0, 3600 * Second, -3600 * Second} {
+		e, now := newWarmingEngine(ahead)
+		e.ObserveServerClock(now - ahead - Second/2)
+		e.UpdateEndpoints(FullList, []Endpoint{
+			{Server: 1, State: Ready, Weight: 1, Started: now - ahead - 400*Second},
+			{Server: 2, State: Ready, Weight: 1, Started: now - ahead - 2*Second},
+		})
+		if weight := e.weightOf(2); weight < 0.25 || weight > 0.34 {
+			t.Errorf("clock ahead by %d: weight %v two seconds after the start", ahead, weight)
+		}
+		if weight := e.weightOf(1); ahead >= 0 && weight != 1 {
+			t.Errorf("clock ahead by %d: weight %v of one that runs for long", ahead, weight)
+		}
+	}
+}
+
+// Lists that come late, as far as settings allow, are no sign of a wrong clock, nor is a server that is listed anew.
+func TestLateListsAreNoWrongClock(t *testing.T) {
+	e, now := newWarmingEngine(0)
+	e.SetTime(now + 60*Second)
+	e.UpdateEndpoints(ListUpdate, []Endpoint{{Server: 2, State: Ready, Weight: 1, Started: e.now - 2*Second}})
+	e.UpdateEndpoints(ListUpdate, []Endpoint{{Server: 3, State: Ready, Weight: 1, Started: e.now - 9*Second}})
+	if weight, want := e.weightOf(3), 0.25+0.75/2; !near(weight, want) {
+		t.Errorf("weight %v, not %v", weight, want)
+	}
+	e.UpdateEndpoints(ListUpdate, []Endpoint{{Server: 4, State: Ready, Weight: 1}, {Server: 5, State: Draining, Started: e.now}})
+	if weight, want := e.weightOf(3), 0.25+0.75/2; !near(weight, want) {
+		t.Errorf("weight %v, not %v, after entries that tell nothing", weight, want)
+	}
+}
--- a/internal/decision/tuning.go
+++ b/internal/decision/tuning.go
@@ -64,6 +64,7 @@
 	maxRateRatio      = 1.6           // times completions over the warm servers of their time, for the ones now
 	warmRateIntervals = 4             // intervals that the rate of a warm server rests on
 	warmRateDecay     = 0.03          // of the best such rate, an interval
+	clockTolerance    = 1.0           // recovery spans that a list may take to come: past it clocks differ
 	sizeMemory        = 33 * interval // memory of the listed sizes of servers that completed
 
 	// Of the subset of servers that a node uses.
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -46,6 +46,10 @@
 	Revision  uint64     `json:"rev"`
 	Full      bool       `json:"all"`
 	Endpoints []Endpoint `json:"targets"`
+
+	// ServedAt is the time of discovery's clock when it wrote the message, in whole seconds, as its Date header says; zero
+	// where there is none.
+	ServedAt time.Time `json:"-"`
 }
 
 // UnmarshalJSON reads a state's name.
@@ -120,6 +124,9 @@
 		return list, response.Close, fmt.Errorf("%w: status %d", listError(response.StatusCode), response.StatusCode)
 	}
 	list, err = ParseEndpointList(raw)
+	if at, dateErr := http.ParseTime(response.Header.Get("Date")); dateErr == nil {
+		list.ServedAt = at
+	}
 	return list, response.Close, err
 }
 
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -266,3 +266,20 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A list carries the time of discovery's clock where the answer names it, whatever form HTTP allows that in.
+func TestListsCarryDiscoverysClock(t *testing.T) {
+	want := time.Date(2026, 12, 2, 9, 5, 7, 0, time.UTC)
+	for date, served := range map[string]time.Time{
+		"Date: Wed, 02 Dec 2026 09:05:07 GMT\r\n":     want,
+		"date: Wednesday, 02-Dec-26 09:05:07 GMT\r\n": want,
+		"Date: soon\r\n": {},
+		"":               {},
+	} {
+		text := "HTTP/1.1 200 OK\r\n" + date + "Content-Length: 33\r\n\r\n" + `{"rev":7,"all":true,"targets":[]}`
+		list, _, err := ReadEndpointList(bufio.NewReader(strings.NewReader(text)))
+		if err != nil || list.Revision != 7 || !list.ServedAt.Equal(served) {
+			t.Errorf("%q: served at %v, revision %d, %v", date, list.ServedAt, list.Revision, err)
+		}
+	}
+}
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -16,6 +16,9 @@
 		kind = decision.FullList
 	}
 	r.enter()
+	if !cached && !list.ServedAt.IsZero() {
+		r.engine.ObserveServerClock(unixTicks(list.ServedAt))
+	}
 	r.engine.UpdateEndpoints(kind, r.endpoints.update(list))
 	r.leave()
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -20,6 +20,9 @@
 // ticks cuts a duration to whole ticks.
 func ticks(d time.Duration) decision.Time { return decision.Time(d / tick) }
 
+// unixTicks is a wall clock's time in ticks since 1970.
+func unixTicks(at time.Time) decision.Time { return decision.Time(at.UnixNano() / int64(tick)) }
+
 // duration is a span of the decision engine's time.
 func duration(t decision.Time) time.Duration { return time.Duration(t) * tick }
 
@@ -51,7 +54,7 @@
 		cfg:        cfg,
 		settings:   newRequestSettings(cfg.Settings),
 		startTime:  now,
-		startTicks: decision.Time(now.UnixNano() / int64(tick)),
+		startTicks: unixTicks(now),
 		endpoints:  newEndpointTable(),
 	}
 	r.engine = decision.New(cfg.Seed, cfg.Settings, r.startTicks)
