A SIGHUP whose configuration can't be read for a moment, or is half written, is not lost

Cause: the file was read once. ENFILE, EMFILE, ENOMEM or EIO at that moment, or a writer that was half way, made it "reload failed", and the node went on with the discovery that it was to leave: sends to draining servers follow.

Change: where a read failed or the document's end is missing the file is read again every 0.1 s for 20 s; a start waits for descriptors and memory likewise. A fault in a whole document is still one line and changes nothing.

--- a/cmd/cherrygap/config.go
+++ b/cmd/cherrygap/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net/netip"
 	"os"
 	"strconv"
@@ -73,6 +74,9 @@
 // errNotPositive is a limit of the platform's that is missing, zero or negative.
 var errNotPositive = errors.New("cores, memory_mb and sockets must be above 0")
 
+// errPartOfJSON is the text of encoding/json's error on a document whose end is missing.
+const errPartOfJSON = "unexpected end of JSON input"
+
 // errNoConfigPath is a start without a configuration.
 var errNoConfigPath = errors.New(envConfig + " is not set")
 
@@ -105,6 +109,14 @@
 	return c, nil
 }
 
+// mayBeReadLater reports whether a configuration could not be read for a reason that may pass: the machine lacked what it
+// takes, the file system failed, or the file is being written and only a part of it is there.
+func mayBeReadLater(err error) bool {
+	var fault *fs.PathError
+	var syntax *json.SyntaxError
+	return errors.As(err, &fault) || errors.As(err, &syntax) && syntax.Error() == errPartOfJSON
+}
+
 // isKnownListError reports whether the endpoint list is all that is wrong with a configuration.
 func isKnownListError(err error) bool {
 	var fault *keyError
--- a/cmd/cherrygap/listen.go
+++ b/cmd/cherrygap/listen.go
@@ -15,6 +15,16 @@
 	addressRetry   = 100 * time.Millisecond
 )
 
+// loadConfigAtStart is loadConfig, again and again for addressTimeout while the machine lacks what it takes to read a file.
+func loadConfigAtStart() (*config, error) {
+	for deadline := time.Now().Add(addressTimeout); ; time.Sleep(addressRetry) {
+		c, err := loadConfig()
+		if !transport.LacksResources(err) || time.Now().After(deadline) {
+			return c, err
+		}
+	}
+}
+
 // retryOpen opens one of the node's own descriptors, again and again for addressTimeout while its address is in use, as
 // the previous process under the same address may still have requests open, or the machine lacks what it takes. Any other
 // error is returned at once.
--- a/cmd/cherrygap/root.go
+++ b/cmd/cherrygap/root.go
@@ -52,7 +52,7 @@
 
 // serve reads the platform's configuration and runs the node until it has drained.
 func serve(_ *cobra.Command, file operatorfile.File) error {
-	c, err := loadConfig()
+	c, err := loadConfigAtStart()
 	if err != nil {
 		return err
 	}
--- a/cmd/cherrygap/server.go
+++ b/cmd/cherrygap/server.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	drainAccept = 500 * time.Millisecond // that clients may still come for after SIGTERM; the platform's send for 0.4 s
-	heapShare   = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
-	gcPercent   = 400                    // little is live, so that a roomy heap saves collections
+	drainAccept   = 500 * time.Millisecond // that clients may still come for after SIGTERM; the platform's send for 0.4 s
+	heapShare     = 0.6                    // of the memory limit; the rest is for stacks, the kernel and the program
+	reloadRetry   = 100 * time.Millisecond // between two tries to read a configuration that could not be read
+	reloadTimeout = 20 * time.Second       // for all of them
+
+	gcPercent = 400 // little is live, so that a roomy heap saves collections
 )
 
 // server is one running edge node: it owns the node's parts from start to close. Its fields belong to the goroutine of
@@ -40,6 +43,9 @@
 	authorizer   authorizer
 	drainGRPC    func() // stops the gRPC front end, and returns once its last request has ended
 
+	reloadAgain <-chan time.Time // when a configuration that could not be read is read again; nil: it is not
+	reloadUntil time.Time        // until when that is tried
+
 	hasEndpoints bool          // the configuration held an endpoint list
 	pollRequests chan struct{} // the decision engine asks for the endpoint list; one that waits is enough
 	closers      []func()      // what close calls, the last first
@@ -122,7 +128,10 @@
 		case <-caught.counters:
 			s.logCounters("counters")
 		case <-caught.reload: // while draining too: open requests may still be forwarded
-			s.reload()
+			s.reloadAgain, s.reloadUntil = nil, time.Now().Add(reloadTimeout)
+			s.reload(false)
+		case <-s.reloadAgain:
+			s.reload(true)
 		case <-caught.terminate:
 			caught.terminate = nil // one drain is enough
 			go func() {            // ends once all clients have gone
@@ -136,11 +145,18 @@
 	}
 }
 
-// reload reads the platform's configuration again. One that is no good changes nothing.
-func (s *server) reload() {
+// reload reads the platform's configuration again. One that is no good changes nothing. Where the file could not be read,
+// or only a part of it was there, it is read again until reloadUntil: the signal comes once.
+func (s *server) reload(isRetry bool) {
+	s.reloadAgain = nil
 	next, err := s.config.reload(s.discovery.SwitchTo)
 	if err != nil {
-		s.log.Error().Err(err).Msg("configuration reload failed")
+		if !isRetry {
+			s.log.Error().Err(err).Msg("configuration reload failed")
+		}
+		if mayBeReadLater(err) && time.Now().Before(s.reloadUntil) {
+			s.reloadAgain = time.After(reloadRetry)
+		}
 		return
 	}
 	s.config = next
--- a/cmd/cherrygap/syscallfault_test.go
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -227,6 +227,37 @@
 	}
 }
 
+// TestReloadOutlastsAHalfWrittenFile: a SIGHUP that comes while the configuration is being written moves discovery once
+// all of it is there, with one line in the log for what was not.
+func TestReloadOutlastsAHalfWrittenFile(t *testing.T) {
+	t.Parallel()
+	before, after := listen(t), listen(t)
+	called := make(chan struct{})
+	go func() {
+		if conn, err := after.Accept(); err == nil {
+			_ = conn.Close()
+			close(called)
+		}
+	}()
+	server := echoServer(t)
+	p, file := faultyProcess(t, (&failingCall{}).decide, before.Addr().String(), server)
+	p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+	text := processConfig(p.addr, after.Addr().String(), 1024, []net.Listener{server})
+	writeFile(t, file, text[:len(text)/2])
+	send(t, p.cmd.Process, syscall.SIGHUP)
+	time.Sleep(3 * reloadRetry) // some tries find the half
+	writeFile(t, file, text)
+	select {
+	case <-called:
+	case <-time.After(5 * time.Second):
+		t.Error("discovery was not moved")
+	}
+	p.kill(t)
+	if lines := strings.Count(p.log.String(), "configuration reload failed"); lines != 1 {
+		t.Errorf("%d lines in the log of a reload that failed", lines)
+	}
+}
+
 // TestReloadOutlastsWhatTheMachineLacks: a SIGHUP whose configuration can't be opened for a moment still moves discovery.
 func TestReloadOutlastsWhatTheMachineLacks(t *testing.T) {
 	t.Parallel()
