A response with a close comes whole to a client that takes it slowly

Cause: the connection was closed while a part of the response waited in this machine's kernel. Whatever the client sent next, as a request that crossed the close, then met a closed socket: the kernel resets the connection and drops the rest. Measured: 4,035 of 65,536 bytes came.

Change: closeOnceTaken waits until the client's machine has acknowledged all, or the response's time is over.

--- a/internal/transport/clientresponse.go
+++ b/internal/transport/clientresponse.go
@@ -11,6 +11,9 @@
 // responseTimeout is how long after a request's own time its response may take to be written.
 const responseTimeout = time.Second
 
+// acknowledgementPause is the time between two looks whether a client's machine has taken in a response.
+const acknowledgementPause = 2 * time.Millisecond
+
 // rejectMalformed answers what is no request that can be handled, and closes. It returns false: no other follows.
 func (c *clientConn) rejectMalformed(err error) bool {
 	var malformed *protocol.RequestError
@@ -84,10 +87,21 @@
 		c.close(reasonResponseUnwritten)
 	case c.overflowed.Load(): // serve closes it
 	case response.Close && c.server.draining.Load():
-		c.close(reasonNodeDraining)
+		c.closeOnceTaken(reasonNodeDraining)
 	case response.Close && !c.request.Close:
-		c.close(reasonNodeNearLimit)
+		c.closeOnceTaken(reasonNodeNearLimit)
 	case response.Close:
-		c.close(reasonClientRequestedClose)
+		c.closeOnceTaken(reasonClientRequestedClose)
+	}
+}
+
+// closeOnceTaken closes the connection once the client's machine has taken in all that was written, or the response's time
+// is over. Closed before, the connection would be reset by whatever else the client sends, and the rest of the response
+// would go with it.
+func (c *clientConn) closeOnceTaken(reason closeReason) {
+	deadline := c.receivedAt.Add(c.request.Timeout + responseTimeout)
+	for c.writer.hasUnacknowledged() && time.Now().Before(deadline) {
+		time.Sleep(acknowledgementPause)
 	}
+	c.close(reason)
 }
