Leased quotas follow the monotonic clock from the start on

Cause: the ledger was given the wall clock at each call. It never goes back: stepped back by an hour, a node stayed in one window, its lease used up, and rejected its leased tenants for that hour; stepped ahead and back again, likewise.

Change: the wall clock as of the start, plus the monotonic time since. At a start by a wrong clock windows are other ones than the peers': each node then keeps its slice, as without a store (docs/design-quota.md).

Measured: internal/quotastore passes. No test steps the wall clock: that takes rights which tests don't have.

--- a/internal/quotastore/quotas.go
+++ b/internal/quotastore/quotas.go
@@ -23,10 +23,11 @@
 // Quotas enforces the quotas at one node with leases from a store. It is safe for concurrent use; only Run and Close wait for
 // the store.
 type Quotas struct {
-	client *redis.Client
-	log    *zerolog.Logger
-	done   chan struct{}  // closed by Close
-	active sync.WaitGroup // Run and the exchanges under way
+	client    *redis.Client
+	log       *zerolog.Logger
+	startedAt time.Time
+	done      chan struct{}  // closed by Close
+	active    sync.WaitGroup // Run and the exchanges under way
 
 	// mu guards what follows. It is never held during a call to the store.
 	mu     sync.Mutex
@@ -37,10 +38,12 @@
 // Open returns the Quotas of a node, whose connections have its name. It does not wait for the store, which may be
 // unreachable.
 func Open(addr, name string, cfg quota.Config, log *zerolog.Logger) *Quotas {
+	startedAt := time.Now()
 	return &Quotas{
-		log:    log,
-		done:   make(chan struct{}),
-		ledger: quota.New(cfg, now()),
+		log:       log,
+		done:      make(chan struct{}),
+		startedAt: startedAt,
+		ledger:    quota.New(cfg, time.Duration(startedAt.UnixNano())),
 		client: redis.NewClient(&redis.Options{
 			Addr:                  addr,
 			ClientName:            name,
@@ -57,35 +60,38 @@
 	}
 }
 
-// now returns the time on the clock that all nodes share, since the Unix epoch.
-func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+// now returns the time since the Unix epoch on the clock that all nodes share, as it was at the start and steady from then
+// on: windows are spans of real time, and a clock that is stepped back would else keep its node in one window for as long.
+func (q *Quotas) now() time.Duration {
+	return time.Duration(q.startedAt.UnixNano()) + time.Since(q.startedAt)
+}
 
 // RecordDemand records a request of a customer, whether it is admitted or not.
 func (q *Quotas) RecordDemand(c quota.Customer, units float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.RecordDemand(now(), c, units)
+	q.ledger.RecordDemand(q.now(), c, units)
 }
 
 // Available returns the units that a customer may still use at this node in this window; +Inf without a quota.
 func (q *Quotas) Available(c quota.Customer) float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Available(now(), c)
+	return q.ledger.Available(q.now(), c)
 }
 
 // TrySpend uses units of what is available to a customer, and reports whether there was enough; else it uses nothing.
 func (q *Quotas) TrySpend(c quota.Customer, units float64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.TrySpend(now(), c, units)
+	return q.ledger.TrySpend(q.now(), c, units)
 }
 
 // RecordUse records units that were used, also beyond what was available.
 func (q *Quotas) RecordUse(c quota.Customer, units float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.RecordUse(now(), c, units)
+	q.ledger.RecordUse(q.now(), c, units)
 }
 
 // Run carries out exchanges until Close, each on a goroutine of its own that ends by the exchange's timeout.
@@ -117,7 +123,7 @@
 func (q *Quotas) next() (quota.Exchange, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Next(now())
+	return q.ledger.Next(q.now())
 }
 
 // Close ends Run, and waits for it and the exchanges under way. It must be called once.
@@ -135,7 +141,7 @@
 	store, entries, err := putAndRead(ctx, q.client, x)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.HandleReply(now(), x.ID, store, entries, err)
+	q.ledger.HandleReply(q.now(), x.ID, store, entries, err)
 	if down := err != nil; down != q.down {
 		q.down = down
 		if down {
