--- a/internal/lab/scale/discovery_test.go
+++ b/internal/lab/discovery/agent_test.go
@@ -1,4 +1,4 @@
-package scale
+package discovery
 
 import (
 	"bufio"
@@ -31,20 +31,20 @@
 }
 
 // testAgent is an agent with four servers, three of them listed, and two watches.
-func testAgent(t *testing.T) *discoveryAgent {
+func testAgent(t *testing.T) *Agent {
 	t.Helper()
-	list := make([]agentEndpoint, 4)
+	list := make([]Endpoint, 4)
 	for i := range list {
-		list[i] = agentEndpoint{
+		list[i] = Endpoint{
 			UID: fmt.Sprint("s", i), Addr: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)),
-			State: "in_service", listed: i < 3,
+			State: "in_service", Listed: i < 3,
 		}
 	}
-	agent, err := startAgent(list, 2)
+	agent, err := Start(list, 2)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(agent.close)
+	t.Cleanup(agent.Close)
 	return agent
 }
 
@@ -64,7 +64,7 @@
 // The agent sends the full list, then changes as they come, and nothing when a call's time is over.
 func TestAgentSendsChanges(t *testing.T) {
 	agent := testAgent(t)
-	addr := agent.watches[1].addr
+	addr := agent.Addr(1)
 	inService := func(uid string) string { return fmt.Sprintf("%s %d", uid, protocol.InService) }
 	list, err := discoveryCall(t, addr, true, 0, 0)
 	checkList(t, "at first", list, err, true, 1, inService("s0"), inService("s1"), inService("s2"))
@@ -79,10 +79,10 @@
 		list, err := discoveryCall(t, addr, false, 1, 3*time.Second)
 		answered <- answer{list, err}
 	}()
-	revision, _ := agent.publish(func(e *agentEndpoint) { e.State = "terminating" }, 2)
+	revision, _ := agent.Publish(func(e *Endpoint) { e.State = "terminating" }, 2)
 	got := <-answered
 	checkList(t, "a change", got.list, got.err, false, revision, fmt.Sprintf("s2 %d", protocol.Terminating))
-	agent.publish(func(*agentEndpoint) {}, 3)
+	agent.Publish(func(*Endpoint) {}, 3)
 	list, err = discoveryCall(t, addr, false, revision, 0)
 	checkList(t, "one that comes", list, err, false, revision+1, inService("s3"))
 }
@@ -90,18 +90,18 @@
 // A change is applied at a node once the node calls again with its revision, and at no other node.
 func TestChangeIsAppliedWithTheNextCall(t *testing.T) {
 	agent := testAgent(t)
-	addr := agent.watches[1].addr
-	revision, at := agent.publish(func(e *agentEndpoint) { e.State = "terminating" }, 2)
+	addr := agent.Addr(1)
+	revision, at := agent.Publish(func(e *Endpoint) { e.State = "terminating" }, 2)
 	if _, err := discoveryCall(t, addr, false, 1, 3*time.Second); err != nil {
 		t.Fatal(err)
 	}
-	if !agent.appliedAt(1, revision, at).IsZero() || !agent.appliedAt(0, revision, at).IsZero() {
+	if !agent.AppliedAt(1, revision, at).IsZero() || !agent.AppliedAt(0, revision, at).IsZero() {
 		t.Error("applied before the node calls again")
 	}
 	if _, err := discoveryCall(t, addr, false, revision, 0); err != nil {
 		t.Fatal(err)
 	}
-	if agent.appliedAt(1, revision, at).IsZero() || !agent.appliedAt(0, revision, at).IsZero() {
+	if agent.AppliedAt(1, revision, at).IsZero() || !agent.AppliedAt(0, revision, at).IsZero() {
 		t.Error("not applied once the node calls again, or at another node")
 	}
 }
@@ -109,14 +109,14 @@
 // While watches are disconnected nothing is answered; after that every call gets the full list.
 func TestAgentDisconnects(t *testing.T) {
 	agent := testAgent(t)
-	addr := agent.watches[1].addr
-	agent.publish(func(e *agentEndpoint) { e.State = "terminating" }, 2)
-	agent.publish(func(*agentEndpoint) {}, 3)
-	agent.disconnectAll()
+	addr := agent.Addr(1)
+	agent.Publish(func(e *Endpoint) { e.State = "terminating" }, 2)
+	agent.Publish(func(*Endpoint) {}, 3)
+	agent.DisconnectAll()
 	if l, err := discoveryCall(t, addr, false, 2, 0); err == nil {
 		t.Errorf("answered while disconnected: %+v", l)
 	}
-	agent.reconnect()
+	agent.Reconnect()
 	if l, err := discoveryCall(t, addr, false, 3, 0); err != nil || !l.Full || len(l.Endpoints) != 4 {
 		t.Errorf("after that %+v, %v", l, err)
 	}
--- a/internal/lab/scale/collect.go
+++ b/internal/lab/scale/collect.go
@@ -118,14 +118,13 @@
 
 // collectDiscoveryTraffic fills in what the agent sent a real node a second.
 func (r *Result) collectDiscoveryTraffic(run *run, seconds float64) {
-	run.agent.mu.Lock()
-	defer run.agent.mu.Unlock()
 	nodes := float64(len(run.nodes))
 	perNode := 1 / (seconds * nodes)
-	for _, watch := range run.agent.watches[:len(run.nodes)] {
-		r.DiscoveryFullBytes += float64(watch.fullBytes) * perNode
-		r.DiscoveryChangeBytes += float64(watch.deltaBytes) * perNode
-		r.DiscoveryFullLists += float64(watch.fullLists) / nodes
+	for watch := range run.nodes {
+		fullLists, fullBytes, changeBytes := run.agent.Traffic(watch)
+		r.DiscoveryFullBytes += float64(fullBytes) * perNode
+		r.DiscoveryChangeBytes += float64(changeBytes) * perNode
+		r.DiscoveryFullLists += float64(fullLists) / nodes
 	}
 }
 
@@ -163,7 +162,7 @@
 		if !expected {
 			continue
 		}
-		at := r.agent.appliedAt(i, change.revision, change.at)
+		at := r.agent.AppliedAt(i, change.revision, change.at)
 		if at.IsZero() {
 			missing = true
 			continue
--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cherrygap/internal/lab/discovery"
 	"cherrygap/internal/protocol"
 )
 
@@ -43,8 +44,8 @@
 			return err
 		}
 	}
-	revision, at := r.agent.publish(func(e *agentEndpoint) {
-		e.State = stateNames[change.state]
+	revision, at := r.agent.Publish(func(e *discovery.Endpoint) {
+		e.State = discovery.StateNames[change.state]
 		if !change.boot.IsZero() {
 			e.BootMs = change.boot.UnixMilli()
 		}
@@ -140,7 +141,7 @@
 		r.realRestarts++
 		n.drain(clientsLinger)
 		r.clients.nodeConns.drop(n.clientAddr)
-		if err := n.start(ctx, &r.cfg, r.agent.snapshot(), r.realRestarts); err != nil {
+		if err := n.start(ctx, &r.cfg, r.agent.Snapshot(0), r.realRestarts); err != nil {
 			return err
 		}
 	}
@@ -209,10 +210,10 @@
 // playWatchLoss breaks all watches at once, after which each node gets the full list, and drains a server as soon as
 // calls are answered again.
 func (r *run) playWatchLoss(ctx context.Context, _ time.Duration) error {
-	r.agent.disconnectAll()
+	r.agent.DisconnectAll()
 	if err := pause(ctx, watchOutage); err != nil {
 		return err
 	}
-	r.agent.reconnect()
+	r.agent.Reconnect()
 	return r.drainLastServer()
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cherrygap/internal/lab/discovery"
 )
 
 // Sections of a run beside those of the faults.
@@ -24,7 +26,7 @@
 	cfg           Config
 	serversWorker *worker // simulated app servers
 	nodesWorker   *worker // simulated nodes
-	agent         *discoveryAgent
+	agent         *discovery.Agent
 	nodes         []*realNode
 	clients       *clientSimulator
 	closed        bool
@@ -103,7 +105,7 @@
 	}
 	wg.Wait()
 	if r.agent != nil {
-		r.agent.close()
+		r.agent.Close()
 	}
 	if r.clients != nil {
 		r.clients.close()
--- a/internal/lab/scale/setup.go
+++ b/internal/lab/scale/setup.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 
+	"cherrygap/internal/lab/discovery"
 	"cherrygap/internal/protocol"
 )
 
@@ -18,19 +19,19 @@
 	if err != nil {
 		return err
 	}
-	endpoints, err := r.agentEndpoints(servers)
+	endpoints, err := r.listedEndpoints(servers)
 	if err != nil {
 		return err
 	}
 	r.nextSpare = r.cfg.Servers
-	if r.agent, err = startAgent(endpoints, r.cfg.Real+1); err != nil {
+	if r.agent, err = discovery.Start(endpoints, r.cfg.Real+1); err != nil {
 		return err
 	}
 	if err := r.makeRealNodes(addresses); err != nil {
 		return err
 	}
 	r.clients = newClientSimulator(&r.cfg, r.nodes, servers)
-	command := nodesCommand{Verb: nodesStart, Agent: r.agent.watches[r.cfg.Real].addr}
+	command := nodesCommand{Verb: nodesStart, Agent: r.agent.Addr(r.cfg.Real)}
 	for _, n := range r.nodes {
 		command.Real = append(command.Real, n.peerAddr)
 	}
@@ -62,17 +63,17 @@
 	return first.Addrs, nodes, err
 }
 
-// agentEndpoints is discovery's list of all servers. Those past the configured ones are listed by changes alone.
-func (r *run) agentEndpoints(servers []string) ([]agentEndpoint, error) {
-	endpoints := make([]agentEndpoint, len(servers))
+// listedEndpoints is discovery's list of all servers. Those past the configured ones are listed by changes alone.
+func (r *run) listedEndpoints(servers []string) ([]discovery.Endpoint, error) {
+	endpoints := make([]discovery.Endpoint, len(servers))
 	for i, s := range servers {
 		addr, err := netip.ParseAddrPort(s)
 		if err != nil {
 			return nil, err
 		}
-		endpoints[i] = agentEndpoint{
+		endpoints[i] = discovery.Endpoint{
 			UID: fmt.Sprintf("app-%05d", i), Addr: addr, Zone: zoneName(i), Model: "m" + strconv.Itoa(i/7%3),
-			Cell: i / 24 % 4096, State: stateNames[protocol.InService], Weight: 1, listed: i < r.cfg.Servers,
+			Cell: i / 24 % 4096, State: discovery.StateNames[protocol.InService], Weight: 1, Listed: i < r.cfg.Servers,
 		}
 	}
 	return endpoints, nil
@@ -96,7 +97,7 @@
 	}
 	for i := range r.cfg.Real {
 		n := &realNode{
-			number: i, agentAddr: r.agent.watches[i].addr, broadcastAddr: nodes.Broadcast, peerAddrs: slices.Clone(peers),
+			number: i, agentAddr: r.agent.Addr(i), broadcastAddr: nodes.Broadcast, peerAddrs: slices.Clone(peers),
 		}
 		var err error
 		if n.clientAddr, err = freeAddress("tcp", realNodeBlock, i); err != nil {
@@ -117,7 +118,7 @@
 func (r *run) startRealNodes(ctx context.Context) error {
 	started := make(chan error, len(r.nodes))
 	for _, n := range r.nodes {
-		go func() { started <- n.start(ctx, &r.cfg, r.agent.snapshot(), 0) }() // ends within startTimeout
+		go func() { started <- n.start(ctx, &r.cfg, r.agent.Snapshot(0), 0) }() // ends within startTimeout
 	}
 	var err error
 	for range r.nodes {
