Soak test: real nodes among overlapping faults, judged by what the node promises

Cause: every crossing found so far was found by reading. What two or three rare events do together on real sockets wants to be played.

--- a/cmd/cherrygap/lab.go
+++ b/cmd/cherrygap/lab.go
@@ -34,6 +34,8 @@
 		newScaleCommand(operatorPath),
 		newScaleServersCommand(),
 		newScaleNodesCommand(),
+		newSoakCommand(operatorPath),
+		newSoakNodeCommand(),
 		deprecateCommand(newScaleNodesCommand(), "scale-nodes", "lab scale-simulated-nodes"),
 	)
 	lab.AddCommand(newLabGRPCCommands(operatorPath)...)
--- /dev/null
+++ b/cmd/cherrygap/lab_soak.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"cherrygap/internal/lab/soak"
+	"cherrygap/internal/lab/syscallfault"
+	"cherrygap/internal/operatorfile"
+)
+
+func newSoakCommand(operatorPath *string) *cobra.Command {
+	cfg := soak.Default()
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Real nodes among overlapping faults, judged by what the node promises",
+		Long: `Start edge nodes (processes of this program), app servers, a fake discovery agent and open-loop clients on loopback;
+overlap faults (signals, system calls that fail, servers, connections, clients and discovery that misbehave); judge every
+request and attempt by the promises of docs/invariants.md; end all that was started; and print one JSON line. Exit code 2
+where any promise was broken. The same seed draws the same faults (docs/lab.md, "Soak").`,
+		Args: cobra.NoArgs,
+		RunE: withLabFile(operatorPath, func(cmd *cobra.Command, file operatorfile.File) error {
+			override(cmd, "seed", &file.Lab.Seed, cfg.Seed)
+			cfg.Seed = file.Lab.Seed
+			return runSoak(cmd, file, cfg)
+		}),
+	}
+	flags := cmd.Flags()
+	flags.Uint64Var(&cfg.Seed, "seed", cfg.Seed, "seed of every random draw")
+	flags.DurationVar(&cfg.Duration, "for", cfg.Duration, "how long clients send and faults are played")
+	flags.IntVar(&cfg.Nodes, "nodes", cfg.Nodes, "edge nodes, a process each (1 to 100)")
+	flags.IntVar(&cfg.Servers, "servers", cfg.Servers, "app servers (2 to 200)")
+	flags.Float64Var(&cfg.Rate, "rate", cfg.Rate, "requests a second at a node, mean")
+	flags.StringSliceVar(&cfg.Faults, "fault", nil, "faults to play, of "+strings.Join(soak.FaultNames(), ", ")+"; default all")
+	flags.StringVar(&cfg.Dir, "dir", "", "folder for configuration files and the nodes' logs, kept; default one that is removed")
+	return cmd
+}
+
+func runSoak(cmd *cobra.Command, file operatorfile.File, cfg soak.Config) error {
+	log := newLabLog(file)
+	cfg.Log = &log
+	var err error
+	if cfg.Program, err = os.Executable(); err != nil {
+		return err
+	}
+	ctx, stop := contextUntilSignal(0)
+	defer stop()
+	result, err := soak.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	if err := printJSON(cmd, result); err != nil {
+		return err
+	}
+	if len(result.Violations) > 0 {
+		return fmt.Errorf("%d promises broken", len(result.Violations))
+	}
+	return nil
+}
+
+// newSoakNodeCommand makes the child process of lab soak that puts the filter on itself and becomes a node.
+func newSoakNodeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    soak.NodeCommand[len(soak.NodeCommand)-1],
+		Short:  "A node of lab soak",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			return syscallfault.Exec(syscallfault.InheritedSocket, soak.FaultyCalls, program, []string{program, serveCommandName}, os.Environ())
+		},
+	}
+}
--- a/cmd/cherrygap/pin_cli_test.go
+++ b/cmd/cherrygap/pin_cli_test.go
@@ -135,6 +135,15 @@
 cherrygap lab scale --time-limit duration=0s
 cherrygap lab scale-servers --count int=1
 cherrygap lab scale-simulated-nodes (hidden)
+cherrygap lab soak
+cherrygap lab soak --dir string=
+cherrygap lab soak --fault stringSlice=[]
+cherrygap lab soak --for duration=30s
+cherrygap lab soak --nodes int=24
+cherrygap lab soak --rate float64=16
+cherrygap lab soak --seed uint64=1
+cherrygap lab soak --servers int=16
+cherrygap lab soak-node (hidden)
 `
 
 // deprecatedName is an old name: a command line, what it writes on standard error first, and the error that it ends with as
--- a/cmd/cherrygap/syscallfault_test.go
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -139,6 +140,36 @@
 	}
 }
 
+// TestRequestsThatWaitToBeAcceptedKeepTheirTime: the time in which a connection waits with its request until accept(2)
+// works again is its client's: no server is told that more is left.
+func TestRequestsThatWaitToBeAcceptedKeepTheirTime(t *testing.T) {
+	t.Parallel()
+	const waits, slack = 400 * time.Millisecond, 150 * time.Millisecond
+	told := make(chan time.Duration, 1)
+	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.Atoi(r.Header.Get("X-Budget-Ms"))
+		told <- time.Duration(ms) * time.Millisecond
+		_, _ = w.Write([]byte("done"))
+	})
+	fault := &failingCall{number: unix.SYS_ACCEPT4}
+	discovery := listen(t)
+	p, _ := faultyProcess(t, fault.decide, discovery.Addr().String(), server)
+	p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
+	fault.begin(unix.ENFILE)
+	statuses := make(chan int)
+	sentAt := time.Now()
+	go func() { statuses <- requestStatus(t, p.addr) }()
+	time.Sleep(waits) // the fault's length: what it takes of the request's time is measured
+	fault.on.Store(false)
+	budget, left := <-told, faultTimeout-time.Since(sentAt)
+	if more := budget - left; more > slack {
+		t.Errorf("the server was told %v more than was left", more)
+	}
+	if status := <-statuses; status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
 // TestWhatThisMachineLacksSaysNothingOfServers: while no connection can be made for reasons of the node's own machine, no
 // server is ejected, and a request that comes then is served once the connection can be made.
 func TestWhatThisMachineLacksSaysNothingOfServers(t *testing.T) {
--- a/internal/lab/discovery/agent.go
+++ b/internal/lab/discovery/agent.go
@@ -336,6 +336,7 @@
 	a.changed = make(chan struct{})
 }
 
+// Reconnect ends what DisconnectAll began.
 func (a *Agent) Reconnect() {
 	a.mu.Lock()
 	a.disconnected = false
--- /dev/null
+++ b/internal/lab/soak/node.go
@@ -0,0 +1,308 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cherrygap/internal/lab/syscallfault"
+)
+
+// FaultyCalls are the system calls of nodes that a run may make fail.
+var FaultyCalls = []uint32{
+	unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_OPENAT, unix.SYS_PPOLL, unix.SYS_TIMERFD_CREATE,
+}
+
+// NodeCommand are the arguments by which this program is started as a node whose system calls may be made to fail.
+var NodeCommand = []string{"lab", "soak-node"}
+
+const (
+	readyWithin   = 10 * time.Second        // of a started node
+	readyInterval = 20 * time.Millisecond   // between looks whether it is
+	killAfter     = 3700 * time.Millisecond // from SIGTERM to SIGKILL: 3 s and 0.7 s
+)
+
+// node is one edge node, over its restarts.
+type node struct {
+	number int
+	addr   string
+	agents [2]string // where discovery is found; a new configuration moves the node from one to the other
+	dir    string
+	nodes  int
+
+	faults callFaults
+
+	busy sync.Mutex // held by the fault that stops, starts or reloads the node
+
+	mu        sync.Mutex // guards what follows
+	cmd       *exec.Cmd
+	exited    chan struct{} // closed once the process has ended
+	ending    bool          // it was told to end, or killed
+	killed    bool          // it was killed: nothing that it had is owed
+	accepting bool          // clients go there
+	startedAt time.Time
+	crowdedAt time.Time // until then idle clients fill its descriptors
+	excusedAt time.Time // until then what discovery told it counts as not yet notified
+	agent     int       // of agents
+	starts    int
+}
+
+// callFaults is which system calls of a node fail now.
+type callFaults struct {
+	on     atomic.Bool                             // the node's program runs: before, the loader's calls are the system's
+	errnos atomic.Pointer[map[int][]syscall.Errno] // by system call
+	share  atomic.Int64                            // of them that fail, in percent
+	failed atomic.Int64
+}
+
+func (f *callFaults) decide(call syscallfault.Call) syscall.Errno {
+	errnos := f.errnos.Load()
+	if errnos == nil || !f.on.Load() && call.Number == unix.SYS_OPENAT {
+		return 0
+	}
+	list := (*errnos)[call.Number]
+	if len(list) == 0 || rand.Int64N(100) >= f.share.Load() {
+		return 0
+	}
+	f.failed.Add(1)
+	return list[rand.IntN(len(list))]
+}
+
+func (n *node) configPath() string { return filepath.Join(n.dir, fmt.Sprintf("node%d.json", n.number)) }
+
+func (n *node) logPath() string { return filepath.Join(n.dir, fmt.Sprintf("node%d.log", n.number)) }
+
+// config is the node's configuration as of now.
+func (n *node) config(known json.RawMessage) []byte {
+	raw, err := json.Marshal(map[string]any{
+		"name": "n" + strconv.Itoa(n.number), "listen": n.addr, "discovery": n.agents[n.agent],
+		"seed":   strconv.FormatUint(uint64(n.starts)<<16|uint64(n.number), 16),
+		"limits": map[string]any{"cores": 1, "memory_mb": nodeMemoryMB, "sockets": nodeSockets},
+		"known":  known, "settings": platformSettings(n.nodes, n.number),
+	})
+	if err != nil {
+		panic(err) // of strings and numbers
+	}
+	return raw
+}
+
+// start starts the node and waits until it is ready. It tells how long that took.
+func (n *node) start(ctx context.Context, program string, known json.RawMessage) (time.Duration, error) {
+	n.mu.Lock()
+	n.starts++
+	raw := n.config(known)
+	n.mu.Unlock()
+	if err := os.WriteFile(n.configPath(), raw, 0o600); err != nil {
+		return 0, err
+	}
+	log, err := os.OpenFile(n.logPath(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return 0, err
+	}
+	cmd := exec.Command(program, NodeCommand...)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+n.configPath(), "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=")
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	injector, err := syscallfault.NewInjector(cmd, n.faults.decide)
+	if err != nil {
+		return 0, err
+	}
+	n.faults.on.Store(false)
+	startedAt := time.Now()
+	if err := cmd.Start(); err != nil {
+		return 0, err
+	}
+	exited := make(chan struct{})
+	go func() { _ = injector.Run() }() // ends with the process; where it fails the node stands still, which is seen
+	go func() {                        // ends with the process
+		_ = cmd.Wait() // how it ended stands in its state
+		_ = log.Close()
+		close(exited)
+	}()
+	n.mu.Lock()
+	n.cmd, n.exited, n.ending, n.killed, n.startedAt = cmd, exited, false, false, startedAt
+	n.mu.Unlock()
+	return n.awaitReady(ctx, exited, startedAt)
+}
+
+func (n *node) awaitReady(ctx context.Context, exited chan struct{}, startedAt time.Time) (time.Duration, error) {
+	for time.Since(startedAt) < 3*readyWithin {
+		if n.isReady() {
+			n.faults.on.Store(true)
+			n.setAccepting(true)
+			return time.Since(startedAt), nil
+		}
+		select {
+		case <-exited:
+			return 0, fmt.Errorf("node %d ended at its start: %s", n.number, n.lastLogLine())
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(readyInterval):
+		}
+	}
+	return 0, fmt.Errorf("node %d is not ready: %s", n.number, n.lastLogLine())
+}
+
+func (n *node) isReady() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + n.addr + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// signal sends a signal to the process. It may have ended.
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(sig)
+}
+
+// terminate sends SIGTERM, lets clients come for a moment more, and waits for the end. It kills the node at last, and tells
+// whether that was needed.
+func (n *node) terminate(linger time.Duration) (killed bool) {
+	n.mu.Lock()
+	n.ending = true
+	exited := n.exited
+	n.mu.Unlock()
+	n.signal(syscall.SIGTERM)
+	time.AfterFunc(linger, func() { n.setAccepting(false) })
+	select {
+	case <-exited:
+	case <-time.After(killAfter):
+		n.signal(syscall.SIGKILL)
+		<-exited
+		killed = true
+	}
+	n.setAccepting(false)
+	return killed
+}
+
+// kill ends the node at once.
+func (n *node) kill() {
+	n.mu.Lock()
+	n.ending, n.killed = true, true
+	exited := n.exited
+	n.mu.Unlock()
+	n.setAccepting(false)
+	n.signal(syscall.SIGKILL)
+	<-exited
+}
+
+func (n *node) setAccepting(accepting bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accepting = accepting
+}
+
+func (n *node) acceptsClients() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.accepting
+}
+
+// crashed tells whether the process has ended by itself.
+func (n *node) crashed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.exited:
+		return !n.ending
+	default:
+		return false
+	}
+}
+
+// excuse has what discovery tells until a moment count as notified then.
+func (n *node) excuse(until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if until.After(n.excusedAt) {
+		n.excusedAt = until
+	}
+}
+
+// crowdLinger is how long after a crowd has gone its node may still be closing connections unread.
+const crowdLinger = 300 * time.Millisecond
+
+// crowdUntil notes that idle clients fill the node's descriptors until a moment.
+func (n *node) crowdUntil(until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if until.After(n.crowdedAt) {
+		n.crowdedAt = until
+	}
+}
+
+// crowded tells whether new connections may be closed unread now.
+func (n *node) crowded() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.crowdedAt)
+}
+
+// wasKilled tells whether the node's present or last process was killed.
+func (n *node) wasKilled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.killed
+}
+
+// notifiedAt is when a change that was published at a moment counts as notified to the node.
+func (n *node) notifiedAt(published time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at := published
+	for _, later := range []time.Time{n.startedAt, n.excusedAt} {
+		if later.After(at) {
+			at = later
+		}
+	}
+	return at
+}
+
+func (n *node) lastLogLine() string {
+	raw, err := os.ReadFile(n.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return lines[len(lines)-1]
+}
+
+// Each kind of listener has loopback addresses of its own, so that no outgoing connection takes one while its owner is
+// restarted.
+const (
+	nodeBlock   = 112 // 127.112.x.y
+	serverBlock = 113
+)
+
+func loopbackAddress(block, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d:0", block, number/250, number%250+1)
+}
+
+// freeAddress is an address of a node's own with a port that was free a moment ago.
+func freeAddress(number int) (string, error) {
+	listener, err := net.Listen("tcp", loopbackAddress(nodeBlock, number))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
