A request that waited to be accepted has its own time; a look at a client is not interrupted for ever

Cause: a request's time began when it was read, however long its connection had waited in the listener's queue, as while accept(2) fails or all slots are taken; only the one connection that held up the accept loop was put right.

Change: at a connection's first request the kernel says how long ago its last bytes came (TCP_INFO), and that is taken off. After three interrupted looks the connection's state, of the same call, says whether the client has closed.

Decisions: such a request has less time than it was taken to have; else none changed.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -129,8 +129,11 @@
 	if arrivedAt := c.arrivals.of(c.in.taken); !arrivedAt.IsZero() { // it may have waited behind others
 		receivedAt = arrivedAt
 	}
-	if !c.waitedSince.IsZero() { // the client's time ran while its connection waited for a slot
-		receivedAt, c.waitedSince = c.waitedSince, time.Time{}
+	if !c.hasRequested.Load() && err == nil { // the client's time ran while its connection waited to be accepted,
+		receivedAt = receivedAt.Add(-c.reader.kernelWait())
+	}
+	if !c.waitedSince.IsZero() { // or for a slot
+		receivedAt, c.waitedSince = earlier(receivedAt, c.waitedSince), time.Time{}
 	}
 	if err != nil {
 		reason := reasonClientClosed
--- a/internal/transport/disconnectunread_test.go
+++ b/internal/transport/disconnectunread_test.go
@@ -131,3 +131,45 @@
 	}
 	return n.pool.total - idle
 }
+
+// A connection's state tells of a close behind bytes that nobody has read, and of a reset, as ppoll does.
+func TestPeerHasClosed(t *testing.T) {
+	listener := listen(t)
+	accepted := make(chan net.Conn, 1)
+	for _, end := range []struct {
+		name   string
+		close  func(net.Conn)
+		closed bool
+	}{
+		{"open", func(net.Conn) {}, false},
+		{"closed", func(conn net.Conn) { closeConn(conn) }, true},
+		{"half closed", closeWrite, true},
+		{"reset", func(conn net.Conn) { resetOnClose(conn); closeConn(conn) }, true},
+	} {
+		go func() {
+			if conn, err := listener.Accept(); err == nil {
+				accepted <- conn
+			}
+		}()
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { closeConn(client) })
+		conn := <-accepted
+		t.Cleanup(func() { closeConn(conn) })
+		writeString(client, "bytes that nobody reads")
+		end.close(client)
+		s := newSocket(conn.(*net.TCPConn))
+		eventually(t, end.name+" seen", func() bool {
+			closed := false
+			if err := s.raw.Control(func(fd uintptr) { closed = peerHasClosed(int(fd)) }); err != nil {
+				t.Fatal(err)
+			}
+			return closed == end.closed
+		})
+		if got := s.hungUp(); got != end.closed {
+			t.Errorf("%s: hung up %v", end.name, got)
+		}
+	}
+}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -112,14 +112,22 @@
 	pollEnded = pollRDHUP | 0x18 // and POLLERR, POLLHUP
 )
 
-// checkHangUp asks ppoll(2), without waiting. Where that fails the connection counts as open.
+// maxInterrupts is how often a look that signals interrupt is taken again, before another way is gone.
+const maxInterrupts = 3
+
+// checkHangUp asks ppoll(2), without waiting, or where that is interrupted again and again the connection's state. Where
+// that fails too the connection counts as open.
 func (s *socket) checkHangUp(fd uintptr) {
 	asked := struct {
 		fd           int32
 		want, events int16
 	}{int32(fd), pollRDHUP, 0}
 	n, errno := uintptr(0), syscall.EINTR
-	for errno == syscall.EINTR {
+	for tries := 0; errno == syscall.EINTR; tries++ {
+		if tries == maxInterrupts {
+			s.ended = peerHasClosed(int(fd))
+			return
+		}
 		var timeout syscall.Timespec // the call may change it
 		n, _, errno = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&asked)), 1,
 			uintptr(unsafe.Pointer(&timeout)), 0, 0, 0)
