Guards on sending, repeating, closing and starting, which count what gets past them

Cause: each promise was kept by looks in several places, and none of them said when it had not been enough.

Decisions: none changed by the engine; an attempt that is held up ends as not sent where it was sent late.

--- a/cmd/cherrygap/server_parts.go
+++ b/cmd/cherrygap/server_parts.go
@@ -60,6 +60,7 @@
 		SetTimer:      s.timer.Set,
 		SendToPeer:    s.sendToPeer,
 		PollEndpoints: s.requestPoll,
+		OnRepeatFault: s.countRepeatFault,
 		LogSummary:    func(line []byte) { s.log.Info().Msg(string(line)) },
 	}
 	if s.quotas != nil { // a nil pointer in the interface would not be nil
@@ -87,6 +88,13 @@
 	return s.router.ReceivePeerMessage(peer, payload)
 }
 
+// countRepeatFault counts an attempt that was held back, as it would have broken the promise on repeats. It is called under
+// the router's lock; the log is written in the background.
+func (s *server) countRepeatFault(fault routing.RepeatFault, class, attempt int) {
+	s.counters.Violated(&s.log, transport.ViolationRepeating).Str("fault", string(fault)).Int("class", class).
+		Int("attempt", attempt).Msg("attempt held back")
+}
+
 // requestPoll notes that the decision engine wants the endpoint list. It is called under the router's lock and never waits.
 func (s *server) requestPoll() {
 	select {
@@ -141,6 +149,7 @@
 
 // updateEndpoints takes over a list or change that the discovery service sent.
 func (s *server) updateEndpoints(list *protocol.EndpointList) {
+	s.logEndpoints(list)
 	s.router.UpdateEndpoints(list, false)
 	s.pool.KeepOnly(s.router.InService)
 	if s.healthChecks != nil {
@@ -148,6 +157,22 @@
 	}
 }
 
+// logEndpoints writes a line for a list and one for each server that a change names, where the log's level has them.
+func (s *server) logEndpoints(list *protocol.EndpointList) {
+	event := s.log.Debug()
+	if !event.Enabled() {
+		return
+	}
+	event.Uint64("revision", list.Revision).Bool("full", list.Full).Int("endpoints", len(list.Endpoints)).Msg("endpoint list")
+	if list.Full {
+		return
+	}
+	for _, e := range list.Endpoints {
+		s.log.Debug().Str("uid", e.UID).Stringer("addr", e.Addr).Stringer("state", e.State).Int64("boot_ms", e.BootMs).
+			Uint64("revision", list.Revision).Msg("endpoint changed")
+	}
+}
+
 // dialAuthorizer readies the client of the external authorizer that the operators name. It does not wait for it.
 func (s *server) dialAuthorizer() error {
 	if s.config.authz.Service == "" {
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -121,6 +121,7 @@
 	Duration Time     // Forward: time-out; Reject: Retry-After; SetTimer: from now
 	Payload  []byte   // SendPeerMessage, LogSummary; valid until the next call
 	Peer     NodeID   // SendPeerMessage: to that node alone, or to AllPeers
+	Reason   Reason   // Reject, Fail
 }
 
 // AllPeers as a Peer is every other node.
--- a/internal/decision/decide.go
+++ b/internal/decision/decide.go
@@ -8,22 +8,24 @@
 		return Decision{}, false
 	}
 	left := r.deadline - e.now - e.answerMargin()
-	ok, first, retryAfter := left > 0, len(r.attempts) == 0, Time(0)
+	ok, first, retryAfter, reason := left > 0, len(r.attempts) == 0, Time(0), ReasonTooLate
 	switch {
 	case ok && first:
 		if ok, retryAfter = e.admit(r); !ok && e.owner.waits(r, e.now) {
 			return Decision{}, false
 		}
+		reason = e.interval.lastReason
 	case ok:
-		ok = e.retries.allows(r, e.now)
+		reason = e.retries.refusal(r, e.now)
+		ok = reason == ReasonNone
 	}
 	if !ok {
-		return e.rejectOrFail(i, retryAfter), true
+		return e.rejectOrFail(i, retryAfter, reason), true
 	}
 	to := e.pick(r)
 	if to < 0 {
 		e.interval.reject(rejectNoServer, 0)
-		return e.rejectOrFail(i, 0), true
+		return e.rejectOrFail(i, 0, ReasonNoServer), true
 	}
 	if first {
 		e.charge(r)
@@ -65,9 +67,9 @@
 func (e *Engine) answerMargin() Time { return 2*e.config.tick + e.config.shortestObjective/100 }
 
 // rejectOrFail answers a request at once: rejected where trying again is harmless, else failed.
-func (e *Engine) rejectOrFail(i requestSlot, retryAfter Time) Decision {
+func (e *Engine) rejectOrFail(i requestSlot, retryAfter Time, reason Reason) Decision {
 	r := &e.requests.all[i]
-	d := Decision{Action: Fail, Request: r.id}
+	d := Decision{Action: Fail, Request: r.id, Reason: reason}
 	if e.config.classes[r.class].harmless(r) {
 		d.Action = Reject
 		if e.config.retryAfter {
--- a/internal/decision/interval.go
+++ b/internal/decision/interval.go
@@ -30,6 +30,7 @@
 	latencySum float64   // over the ends, of time over objective
 	latencies  []float64 // of the ends, time over objective
 	rejected   [rejectReasons]int
+	lastReason Reason // of the last rejection
 }
 
 // attemptEnded counts an end that tells of the servers' latency, as a part of the objective.
@@ -49,6 +50,7 @@
 // reject counts a rejection; it gives back what the way through the limits answers then.
 func (s *intervalStats) reject(reason rejectReason, retryAfter Time) (ok bool, after Time) {
 	s.rejected[reason]++
+	s.lastReason = reason.reason()
 	return false, retryAfter
 }
 
--- a/internal/decision/retry.go
+++ b/internal/decision/retry.go
@@ -16,18 +16,24 @@
 func (b *retryBudget) spend() { b.left-- }
 
 // allows tells whether a request may have another attempt.
-func (b *retryBudget) allows(r *request, now Time) bool {
-	if len(r.attempts) >= b.config.maxAttempts || b.left < 1 {
-		return false
+func (b *retryBudget) allows(r *request, now Time) bool { return b.refusal(r, now) == ReasonNone }
+
+// refusal is why a request may have no other attempt, if so.
+func (b *retryBudget) refusal(r *request, now Time) Reason {
+	switch {
+	case len(r.attempts) >= b.config.maxAttempts:
+		return ReasonMaxAttempts
+	case b.left < 1:
+		return ReasonRetryBudget
 	}
 	c := &b.config.classes[r.class]
 	for _, a := range r.attempts {
 		late := now+b.config.connectTimeout >= a.sent+c.keyWindow // past what servers know the key
 		if a.mayHaveRun && (c.retrySafety == retryNever || c.retrySafety == retryKeyed && late) {
-			return false
+			return ReasonMayHaveRun
 		}
 	}
-	return true
+	return ReasonNone
 }
 
 // hedgeAfter is how long an attempt at an ejected server may take before it is cancelled.
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -26,6 +26,11 @@
 	Terminated
 )
 
+// String is the state's name on the wire.
+func (s EndpointState) String() string {
+	return [...]string{InService: "in_service", Terminating: "terminating", Terminated: "terminated"}[s]
+}
+
 // Endpoint is one app server of discovery's list. Its JSON names are the platform's.
 type Endpoint struct {
 	UID    string         `json:"uid"`
--- a/internal/protocol/outcome.go
+++ b/internal/protocol/outcome.go
@@ -22,5 +22,8 @@
 	"malformed_response",
 }
 
+// NeverRan reports whether an attempt that ended so is proven not to have run.
+func (o Outcome) NeverRan() bool { return o == Overloaded || o == ConnectFailed || o == NotSent }
+
 // String is the outcome's name, as the counters of the log have it behind "attempts_".
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -32,6 +32,10 @@
 	// returned. Nil where each request waits in Next.
 	OnDecision func(*Request)
 
+	// OnRepeatFault, when set, is called with each attempt that the engine decided on and that is held back, as it would
+	// break the promise on repeats. It is called under the Router's lock, and must neither block nor call the Router.
+	OnRepeatFault func(fault RepeatFault, class, attempt int)
+
 	// SetTimer sets the one timer, which is to call Router.Tick; an earlier setting of it is void. It is called under the
 	// Router's lock, and must neither block nor call the Router.
 	SetTimer func(after time.Duration)
--- a/internal/routing/dispatch.go
+++ b/internal/routing/dispatch.go
@@ -14,11 +14,11 @@
 		r.forward(d)
 	case decision.Reject:
 		if req := r.requests.find(requestNumber(d.Request)); req != nil {
-			req.decide(Decision{Action: Reject, RetryAfter: duration(d.Duration)})
+			r.reject(req, d)
 		}
 	case decision.Fail:
 		if req := r.requests.find(requestNumber(d.Request)); req != nil {
-			req.decide(Decision{Action: Fail})
+			req.decide(Decision{Action: Fail, Reason: d.Reason.String()})
 		}
 	case decision.CancelAttempt:
 		if req := r.requests.find(requestNumber(d.Request)); req != nil && d.Attempt == req.attempt {
@@ -37,6 +37,22 @@
 	}
 }
 
+// reject decides that a request is rejected; one that may have run has failed instead.
+func (r *Router) reject(req *Request, d decision.Decision) {
+	if fault := req.repeats.checkRejection(); fault != RepeatFaultNone {
+		r.reportRepeatFault(fault, req)
+		req.decide(Decision{Action: Fail, Reason: d.Reason.String()})
+		return
+	}
+	req.decide(Decision{Action: Reject, RetryAfter: duration(d.Duration), Reason: d.Reason.String()})
+}
+
+func (r *Router) reportRepeatFault(fault RepeatFault, req *Request) {
+	if r.cfg.OnRepeatFault != nil {
+		r.cfg.OnRepeatFault(fault, req.class, req.attempt)
+	}
+}
+
 // forward decides on the next attempt of a request. The first one is charged to the tenant's lease.
 func (r *Router) forward(d decision.Decision) {
 	req := r.requests.find(requestNumber(d.Request))
@@ -47,10 +63,13 @@
 	if req.attempt == 0 && r.cfg.Quota != nil {
 		r.cfg.Quota.RecordUse(req.tenant, req.units)
 	}
-	req.decide(Decision{
-		Action:  Forward,
-		Attempt: req.attempt,
-		Server:  r.endpoints.servers[ServerNumber(d.Server)],
-		Timeout: duration(d.Duration),
-	})
+	to, now := r.endpoints.find(ServerNumber(d.Server)), r.cfg.Clock()
+	next := Decision{Action: Forward, Attempt: req.attempt, Server: to, Timeout: duration(d.Duration), FinishBy: req.repeats.finishBy()}
+	if fault := req.repeats.check(to, now); fault != RepeatFaultNone {
+		next.withheld = true
+		r.reportRepeatFault(fault, req)
+	} else {
+		req.repeats.begin(to, now)
+	}
+	req.decide(next)
 }
--- a/internal/routing/dispatch_test.go
+++ b/internal/routing/dispatch_test.go
@@ -24,6 +24,7 @@
 		name     string
 		decision decision.Decision // its Request is set below
 		want     Decision
+		gone     bool
 	}{
 		{
 			name:     "forward",
@@ -34,6 +35,7 @@
 			name:     "forward to a server that is gone",
 			decision: decision.Decision{Action: decision.Forward, Server: 1, Duration: 1},
 			want:     Decision{Action: Forward, Attempt: 0, Timeout: 100 * time.Microsecond},
+			gone:     true,
 		},
 		{
 			name:     "reject",
@@ -51,7 +53,14 @@
 			req.attempt = -1
 			c.decision.Request = decision.RequestID(req.number)
 			carryOut(r, c.decision)
-			if got, ok := req.TryNext(); got != c.want || !ok {
+			got, ok := req.TryNext()
+			if c.gone { // a server of its own, that is not in service
+				if got.Server == nil || got.Server.Number() != ServerNumber(c.decision.Server) || r.InService(got.Server) {
+					t.Errorf("server %+v", got.Server)
+				}
+				got.Server = nil
+			}
+			if got != c.want || !ok {
 				t.Errorf("decided on %+v, not on %+v", got, c.want)
 			}
 		})
--- a/internal/routing/endpointtable.go
+++ b/internal/routing/endpointtable.go
@@ -16,7 +16,9 @@
 type Server struct {
 	Addr   netip.AddrPort
 	number ServerNumber
-	state  protocol.EndpointState // guarded by the Router's lock
+	state  protocol.EndpointState // guarded by the Router's lock, as both below
+	zone   string
+	cell   int
 }
 
 // Number returns the server's number.
@@ -58,6 +60,14 @@
 	return n
 }
 
+// find returns the server with a number. One that the table does not hold is terminated: nothing is sent there.
+func (t *endpointTable) find(n ServerNumber) *Server {
+	if s := t.servers[n]; s != nil {
+		return s
+	}
+	return &Server{number: n, state: protocol.Terminated}
+}
+
 // removeTerminated forgets a server that has terminated, or they would pile up. An attempt that is in flight at one holds
 // its Server itself.
 func (t *endpointTable) removeTerminated(uid string) {
@@ -117,7 +127,7 @@
 		s = &Server{number: n, Addr: e.Addr}
 		t.servers[n] = s
 	}
-	s.state = e.State
+	s.state, s.zone, s.cell = e.State, e.Zone, e.Cell
 	return decision.Endpoint{
 		Server:  decision.ServerID(n),
 		Zone:    numberOf(t.zones, e.Zone),
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -26,6 +26,10 @@
 	Server     *Server       // Forward: where to
 	Timeout    time.Duration // Forward: of the attempt
 	RetryAfter time.Duration // Reject: the advice to the client, 0 for none
+	Reason     string        // Reject, Fail: why, for the log
+	FinishBy   time.Time     // Forward: when the request has to be whole at the server; zero: no bound
+
+	withheld bool // Forward: it would break the promise on repeats
 }
 
 // Canceller runs the attempts of one request at a time.
@@ -58,6 +62,8 @@
 	decision   Decision      // the last one, until it is taken
 	server     *Server       // of the decision taken last
 	clientGone bool
+	class      int
+	repeats    repeatGuard
 	tenant     quota.Customer // zero where its quota is not leased
 	units      float64        // to be charged to tenant
 }
@@ -73,10 +79,12 @@
 	default:
 	}
 	plan := r.settings.plans[in.Plan]
+	req.class = r.settings.classes[in.Class]
+	req.repeats.reset(r.settings.repeats[req.class])
 	req.lease(plan, in)
 	r.engine.AddRequest(decision.Request{
 		ID:        decision.RequestID(req.number),
-		Class:     decision.ClassID(r.settings.classes[in.Class]),
+		Class:     decision.ClassID(req.class),
 		Plan:      decision.PlanID(plan),
 		Customer:  decision.CustomerID(in.Customer),
 		Timeout:   ticks(timeout),
@@ -118,8 +126,12 @@
 
 // Next waits for the next decision and takes it.
 func (req *Request) Next() Decision {
-	<-req.decided
-	return req.take()
+	for {
+		<-req.decided
+		if d, ok := req.take(); ok {
+			return d
+		}
+	}
 }
 
 // TryNext takes the next decision if there is one, without waiting: for callers that drive the Router from one event
@@ -127,26 +139,26 @@
 func (req *Request) TryNext() (Decision, bool) {
 	select {
 	case <-req.decided:
-		return req.take(), true
+		return req.take()
 	default:
 		return Decision{}, false
 	}
 }
 
-// take takes the decision that was made.
-func (req *Request) take() Decision {
+// take takes the decision that was made. It reports false where that is held back: the engine then decides anew.
+func (req *Request) take() (Decision, bool) {
 	r := req.router
 	r.mu.Lock()
 	d, gone := req.decision, req.clientGone
 	req.decision, req.server = Decision{}, d.Server
 	r.mu.Unlock()
-	if !gone {
-		return d
-	}
-	if d.Action == Forward { // the client left after the decision: the engine must not wait for the attempt's result
+	if d.Action == Forward && (gone || d.withheld) { // the engine must not wait for the attempt's result
 		req.Report(AttemptResult{Outcome: protocol.NotSent})
 	}
-	return Decision{Action: Abandon}
+	if gone {
+		return Decision{Action: Abandon}, true
+	}
+	return d, !d.withheld
 }
 
 // outcomes maps the protocol's outcomes to the engine's.
@@ -166,6 +178,7 @@
 func (req *Request) Report(result AttemptResult) {
 	r := req.router
 	r.enter()
+	req.repeats.end(result.Outcome)
 	r.engine.AttemptEnded(decision.AttemptResult{
 		Request:  decision.RequestID(req.number),
 		Attempt:  req.attempt,
--- a/internal/routing/requestsettings.go
+++ b/internal/routing/requestsettings.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"cherrygap/internal/decision"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/quota"
@@ -10,6 +12,7 @@
 // requestSettings is what the settings say of requests before the engine sees them. It does not change after New.
 type requestSettings struct {
 	classes, plans map[string]int   // numbers by name
+	repeats        []repeatRule     // by class
 	quotas         []quota.Customer // by plan: only Rate and Burst are set
 	nodes          int
 	maxUnits       float64 // of a request; 0 or less: no bound
@@ -22,6 +25,7 @@
 		nodes:    max(1, int(set.Number(settings.Nodes))),
 		maxUnits: set.Number(settings.MaxUnits),
 	}
+	s.repeats = newRepeatRules(set, max(1, int(set.Number(settings.ClassCount))))
 	for plan := range len(s.plans) {
 		s.quotas = append(s.quotas, quota.Customer{
 			Rate:  set.Number(settings.PlanKey(plan, settings.PlanRate)),
@@ -31,6 +35,11 @@
 	return s
 }
 
+// settingDuration is a setting that is a time; one that is missing or can't be read is 0.
+func settingDuration(set map[string]string, key string) time.Duration {
+	return duration(decision.Settings(set).Duration(key))
+}
+
 // numbersByName maps the names of a list's entries to their numbers; of a name given twice it is the last.
 func numbersByName(names []string) map[string]int {
 	numbers := map[string]int{}
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -30,6 +30,8 @@
 	router     *routing.Router
 	peerClosed func() bool // looks whether the client has disconnected by now; does not block
 	body       []byte      // of the last response, kept for the next
+	requestID  string      // of the open request
+	guard      sendGuard   // of the attempt under way
 
 	mu           sync.Mutex         // guards all below
 	current      int                // the attempt under way, or noAttempt
@@ -41,12 +43,14 @@
 	clientSeenAt time.Time          // when the client was still there, last
 }
 
-// reset readies the runner for a request whose client was there at a time.
-func (r *attemptRunner) reset(seenAt time.Time) {
+// reset readies the runner for a request whose client was there at a time, and gives up at another.
+func (r *attemptRunner) reset(request *protocol.Request, seenAt time.Time) {
 	r.mu.Lock()
 	r.current, r.cancelled, r.clientLeft, r.clientSeenAt = noAttempt, noAttempt, false, seenAt
 	r.mu.Unlock()
 	r.body = trimBuffer(r.body)
+	r.requestID = request.ID
+	r.guard = sendGuard{clientDeadline: seenAt.Add(request.Timeout)}
 }
 
 // clientGone reports whether the client has disconnected, by a look of its own where the last is old. It guards against
@@ -125,12 +129,25 @@
 // run carries out the attempt that the Router decided on. The response's body is good until the next attempt.
 func (r *attemptRunner) run(decision routing.Decision, request *protocol.Request) (protocol.ServerResponse, routing.AttemptResult) {
 	startedAt := time.Now()
-	response := r.attempt(decision, request, startedAt.Add(decision.Timeout))
+	r.guard.finishBy = decision.FinishBy
+	response := r.attempt(decision, request, earlier(startedAt.Add(decision.Timeout), r.guard.clientDeadline))
 	r.pool.counters.AttemptOutcomes[response.Outcome].Add(1)
 	took := time.Since(startedAt)
+	r.logEnd(decision, response.Outcome, took)
 	return response, routing.AttemptResult{Outcome: response.Outcome, Duration: took, Units: response.Units}
 }
 
+// logEnd writes an attempt's line, where the log's level has it.
+func (r *attemptRunner) logEnd(decision routing.Decision, outcome protocol.Outcome, took time.Duration) {
+	event := r.pool.log.Debug()
+	if !event.Enabled() {
+		return
+	}
+	event.Str("request", r.requestID).Int("attempt", decision.Attempt).Stringer("server", decision.Server.Addr).
+		Stringer("outcome", outcome).Dur("told_ms", r.guard.told).Dur("timeout_ms", decision.Timeout).Dur("took_ms", took).
+		Msg("attempt ended")
+}
+
 func (r *attemptRunner) attempt(decision routing.Decision, request *protocol.Request, deadline time.Time) protocol.ServerResponse {
 	conn, outcome := r.send(decision, request, deadline)
 	if conn == nil {
@@ -153,13 +170,16 @@
 		if conn.requests == 0 {
 			newConns++
 		}
-		conn.out.appended(protocol.AppendAttempt(conn.out.space(), request, time.Until(deadline)))
+		r.guard.toldAt = time.Now()
+		r.guard.told = deadline.Sub(r.guard.toldAt)
+		conn.out.appended(protocol.AppendAttempt(conn.out.space(), request, r.guard.told))
 		conn.out.write(request.Body)
-		written, early := r.writeRequest(conn, deadline)
-		if written {
+		fault := r.writeRequest(conn, deadline)
+		if fault == writtenWhole {
+			r.checkSent(decision)
 			return conn, protocol.Completed
 		}
-		if outcome, again := r.giveUp(conn, early, newConns); !again {
+		if outcome, again := r.giveUp(conn, fault, newConns); !again {
 			return nil, outcome
 		}
 	}
@@ -189,6 +209,7 @@
 	}
 	setDeadline(conn.conn, deadline)
 	// A dial takes time, in which the server may have begun to drain, or the attempt been cancelled, or its client left.
+	r.guard.serverSeenAt = time.Now()
 	if !r.router.InService(decision.Server) || !r.begin(decision.Attempt, conn, nil) {
 		r.pool.put(conn)
 		return nil, protocol.NotSent
@@ -196,45 +217,80 @@
 	return conn, protocol.Completed
 }
 
+// writeFault is why a request was not written whole, so that it never ran.
+type writeFault int
+
+const (
+	writtenWhole writeFault = iota
+	writeBroke              // the connection ended, or the attempt was stopped
+	writeEarly              // bytes came that belong to an earlier response
+	writeHeldUp             // it took so long that the time told is not right any more
+)
+
 // writeRequest writes a request, its last byte by itself: what breaks before that has never run, and a connection that
 // a server has given up breaks as soon as the rest comes. Written at once, it would break after the last byte and so
-// may have run, which costs an unsafe request. It reports whether all was written. Bytes that come before the last is
-// written are of an earlier request's response, or of a second one to it, where the connection has carried any, and would
-// pass for this request's: early. On a new one they are left to receive.
-func (r *attemptRunner) writeRequest(conn *upstreamConn, deadline time.Time) (written, early bool) {
+// may have run, which costs an unsafe request. Bytes that come before the last is written are of an earlier request's
+// response, or of a second one to it, where the connection has carried any, and would pass for this request's. On a new
+// one they are left to receive.
+func (r *attemptRunner) writeRequest(conn *upstreamConn, deadline time.Time) writeFault {
 	if r.clientGone() || conn.out.flushExcept(1) != nil { // nothing comes between a look and the write behind it
-		return false, false
+		return writeBroke
 	}
-	setReadDeadline(conn.conn, time.Now().Add(conn.resetWait))
+	r.guard.firstByteAt = time.Now()
+	setReadDeadline(conn.conn, r.guard.firstByteAt.Add(conn.resetWait))
 	readable, ended := conn.reader.waitReadable()
-	early = readable && conn.requests > 0
 	r.mu.Lock()
 	stopped := r.cancelled == r.current || r.clientLeft
 	if !stopped { // else the deadline is past, and stays so
 		setDeadline(conn.conn, deadline)
 	}
 	r.mu.Unlock()
-	if ended || early || stopped || r.clientGone() {
-		return false, early
+	switch {
+	case readable && conn.requests > 0:
+		return writeEarly
+	case ended || stopped || r.clientGone():
+		return writeBroke
+	case !r.guard.mayFinish(time.Now()):
+		return writeHeldUp
+	case conn.out.flush() != nil:
+		return writeBroke
 	}
-	written = conn.out.flush() == nil
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.written = written; written && r.clientLeft && r.cancelled != r.current { // the client left just now: this has begun
+	if r.written = true; r.clientLeft && r.cancelled != r.current { // the client left just now: this has begun
 		setDeadline(conn.conn, deadline)
 	}
-	return written, false
+	return writtenWhole
+}
+
+// checkSent counts what an attempt that was written broke all the same.
+func (r *attemptRunner) checkSent(decision routing.Decision) {
+	now := time.Now()
+	r.mu.Lock()
+	left, seenAt := r.clientLeft, r.clientSeenAt
+	r.mu.Unlock()
+	fault := r.guard.check(now, seenAt, left)
+	if fault == sendFaultNone {
+		return
+	}
+	r.pool.counters.Violated(r.pool.log, ViolationSending).Str("fault", string(fault)).Str("request", r.requestID).
+		Int("attempt", decision.Attempt).Stringer("server", decision.Server.Addr).Dur("told_ms", r.guard.told).
+		Dur("left_ms", r.guard.clientDeadline.Sub(now)).Dur("client_seen_ms", now.Sub(seenAt)).
+		Dur("server_seen_ms", now.Sub(r.guard.serverSeenAt)).Msg(violatedMessage)
 }
 
 // giveUp closes a connection that a request was not written to whole, so that it never ran, and reports whether to try
 // another; if not, how the attempt ended.
-func (r *attemptRunner) giveUp(conn *upstreamConn, early bool, newConns int) (outcome protocol.Outcome, again bool) {
+func (r *attemptRunner) giveUp(conn *upstreamConn, fault writeFault, newConns int) (outcome protocol.Outcome, again bool) {
 	switch cancelled, clientLeft := r.end(); {
 	case cancelled || clientLeft:
 		r.pool.close(conn, reasonAttemptCancelled)
 		return protocol.NotSent, false
+	case fault == writeHeldUp: // by the node itself, or by a server that takes nothing in
+		r.pool.close(conn, reasonHeldUp)
+		return protocol.NotSent, false
 	case conn.requests > 0: // it was stale since its last response, and says nothing of the server
-		if !early {
+		if fault != writeEarly {
 			r.pool.distrust(time.Since(conn.idleSince))
 		}
 		r.pool.close(conn, reasonServerStale)
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -76,6 +76,10 @@
 func (c *clientConn) close(reason closeReason) {
 	c.closeOnce.Do(func() {
 		c.reason = reason
+		if reason.isNodesChoice() && !c.guard.is(phaseClosed) {
+			c.server.counters.Violated(c.server.log, ViolationClosing).Str("reason", string(reason)).
+				Stringer("peer", c.conn.RemoteAddr()).Int("requests", c.requests).Msg(violatedMessage)
+		}
 		closeConn(c.conn)
 	})
 }
--- a/internal/transport/clientresponse.go
+++ b/internal/transport/clientresponse.go
@@ -11,6 +11,9 @@
 // responseTimeout is how long after a request's own time its response may take to be written.
 const responseTimeout = time.Second
 
+// answerSlack is how long after a request's own time the platform still takes its answer.
+const answerSlack = 500 * time.Millisecond
+
 // acknowledgementPause is the time between two looks whether a client's machine has taken in a response.
 const acknowledgementPause = 2 * time.Millisecond
 
@@ -79,6 +82,9 @@
 		return
 	}
 	c.responseDue.Store(false)
+	if late := time.Since(c.receivedAt) - c.request.Timeout; late > answerSlack {
+		c.handler.violated(&c.request, "answered past its time")
+	}
 	response.Close = c.request.Close || c.overflowed.Load() || c.server.wantsClose() && c.guard.closeWithResponse()
 	setWriteDeadline(c.conn, c.receivedAt.Add(c.request.Timeout+responseTimeout))
 	switch {
@@ -86,12 +92,12 @@
 		c.server.counters.ResponsesUnwritten.Add(1)
 		c.close(reasonResponseUnwritten)
 	case c.overflowed.Load(): // serve closes it
+	case response.Close && c.request.Close:
+		c.closeOnceTaken(reasonClientRequestedClose)
 	case response.Close && c.server.draining.Load():
 		c.closeOnceTaken(reasonNodeDraining)
-	case response.Close && !c.request.Close:
-		c.closeOnceTaken(reasonNodeNearLimit)
 	case response.Close:
-		c.closeOnceTaken(reasonClientRequestedClose)
+		c.closeOnceTaken(reasonNodeNearLimit)
 	}
 }
 
--- a/internal/transport/closereason.go
+++ b/internal/transport/closereason.go
@@ -28,10 +28,16 @@
 	reasonServerTimeout        closeReason = "server-timeout"
 	reasonServerUnlisted       closeReason = "server-unlisted"
 	reasonAttemptCancelled     closeReason = "attempt-cancelled"
+	reasonHeldUp               closeReason = "held-up"
 	reasonIdle                 closeReason = "idle"
 	reasonDiscoveryClosed      closeReason = "discovery-closed"
 )
 
+// isNodesChoice reports whether the node closes a client's connection for this reason without any sign of the client's.
+func (r closeReason) isNodesChoice() bool {
+	return r == reasonNodeDraining || r == reasonNodeNearLimit || r == reasonEvicted
+}
+
 // connSide is what kind of peer a closed connection led to, as it is logged.
 type connSide string
 
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -23,6 +23,8 @@
 	EndpointLists, MalformedLists                                                   atomic.Int64
 	PeerMessagesSent, PeerMessagesUnsent, PeerMessagesReceived, PeerMessagesDropped atomic.Int64
 	LogLinesDropped                                                                 atomic.Int64
+
+	violations [violationCount]atomic.Int64 // of promises, by guard
 }
 
 // outcomeFields are the fields of AttemptOutcomes.
@@ -69,4 +71,7 @@
 		event.Int64(field, c.AttemptOutcomes[outcome].Load())
 	}
 	event.Int64("dials_short_of_resources", c.Shortages.Load())
+	for v := range c.violations {
+		event.Int64(violationField(Violation(v)), c.violations[v].Load())
+	}
 }
--- a/internal/transport/golden_wire_test.go
+++ b/internal/transport/golden_wire_test.go
@@ -201,7 +201,11 @@
 	{"ended_withdrawn", "attempts_cancelled"},
 	{"ended_unsent", "attempts_not_sent"},
 	{"ended_spoilt", "attempts_malformed_response"},
-	{"", "dials_short_of_resources"}, // since issue 40
+	{"", "dials_short_of_resources"}, // since issue 40, as those below
+	{"", "violations_sending"},
+	{"", "violations_repeating"},
+	{"", "violations_closing"},
+	{"", "violations_starting"},
 }
 
 // The counters in the log: names, order, and that each is written under its own name.
@@ -217,6 +221,9 @@
 		all = append(all, &counters.AttemptOutcomes[outcome])
 	}
 	all = append(all, &counters.Shortages)
+	for v := range counters.violations {
+		all = append(all, &counters.violations[v])
+	}
 	if len(all) != len(counterNames) {
 		t.Fatalf("%d counters, %d names", len(all), len(counterNames))
 	}
--- a/internal/transport/requesthandler.go
+++ b/internal/transport/requesthandler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cherrygap/internal/authz"
@@ -23,6 +24,7 @@
 	server   *Server
 	attempts attemptRunner
 	request  *routing.Request
+	open     atomic.Bool // a request is being handled
 
 	mu          sync.Mutex         // guards both below
 	clientLeft  bool               // the client disconnected
@@ -69,6 +71,10 @@
 func (h *RequestHandler) Handle(request *protocol.Request, receivedAt time.Time) (response protocol.ClientResponse, owed bool) {
 	counters := h.server.counters
 	counters.Requests.Add(1)
+	if !h.open.CompareAndSwap(false, true) {
+		h.violated(request, "begun while another was open")
+	}
+	defer h.open.Store(false)
 	if refusal, passes := h.authorize(request, receivedAt); !passes {
 		if h.clientGone() {
 			counters.ClientsGone.Add(1)
@@ -76,15 +82,43 @@
 		}
 		return refusal, true
 	}
-	h.attempts.reset(receivedAt)
+	h.attempts.reset(request, receivedAt)
 	h.request.Start(request, request.Timeout-time.Since(receivedAt))
 	if h.clientGone() { // before the Router knew of the request
 		h.attempts.stop()
 		h.request.ClientGone()
 	}
+	response, end := h.attemptUntilEnd(request)
+	h.logEnd(request, end, receivedAt)
+	return response, end.outcome != endClientGone
+}
+
+// endOutcome is what became of a request.
+type endOutcome string
+
+const (
+	endCompleted  endOutcome = "completed"
+	endRejected   endOutcome = "rejected"
+	endFailed     endOutcome = "failed"
+	endClientGone endOutcome = "client-gone"
+)
+
+// requestEnd is how a request ended, and why it was not completed where the engine says so.
+type requestEnd struct {
+	outcome  endOutcome
+	reason   string
+	attempts int // that were decided on
+}
+
+// attemptUntilEnd carries out what the Router decides until the request's end.
+func (h *RequestHandler) attemptUntilEnd(request *protocol.Request) (response protocol.ClientResponse, end requestEnd) {
+	counters := h.server.counters
 	for {
-		switch decision := h.request.Next(); decision.Action {
+		decision := h.request.Next()
+		end.reason = decision.Reason
+		switch decision.Action {
 		case routing.Forward:
+			end.attempts++
 			reply, result := h.attempts.run(decision, request)
 			if result.Outcome == protocol.NotSent && h.attempts.clientGone() { // it may have seen so before serve has
 				h.ClientGone()
@@ -92,21 +126,43 @@
 			h.request.Report(result)
 			if result.Outcome == protocol.Completed {
 				counters.Completed.Add(1)
-				return protocol.ClientResponse{Status: protocol.StatusCompleted, ContentType: reply.ContentType, Body: reply.Body}, true
+				end.outcome = endCompleted
+				return protocol.ClientResponse{Status: protocol.StatusCompleted, ContentType: reply.ContentType, Body: reply.Body}, end
 			}
 		case routing.Reject:
 			counters.Rejected.Add(1)
-			return protocol.ClientResponse{Status: protocol.StatusRejected, RetryAfter: decision.RetryAfter}, true
+			end.outcome = endRejected
+			return protocol.ClientResponse{Status: protocol.StatusRejected, RetryAfter: decision.RetryAfter}, end
 		case routing.Fail:
 			counters.Failed.Add(1)
-			return protocol.ClientResponse{Status: protocol.StatusFailed}, true
+			end.outcome = endFailed
+			return protocol.ClientResponse{Status: protocol.StatusFailed}, end
 		default:
 			counters.ClientsGone.Add(1)
-			return response, false
+			if !h.clientGone() {
+				h.violated(request, "ended without an answer")
+			}
+			end.outcome = endClientGone
+			return response, end
 		}
 	}
 }
 
+// logEnd writes a request's line, where the log's level has it.
+func (h *RequestHandler) logEnd(request *protocol.Request, end requestEnd, receivedAt time.Time) {
+	event := h.server.log.Debug()
+	if !event.Enabled() {
+		return
+	}
+	event.Str("request", request.ID).Str("class", request.Class).Str("end", string(end.outcome)).Str("reason", end.reason).
+		Int("attempts", end.attempts).Dur("timeout_ms", request.Timeout).Dur("took_ms", time.Since(receivedAt)).Msg("request ended")
+}
+
+// violated counts a promise on a request's start and end that was broken.
+func (h *RequestHandler) violated(request *protocol.Request, fault string) {
+	h.server.counters.Violated(h.server.log, ViolationStarting).Str("fault", fault).Str("request", request.ID).Msg(violatedMessage)
+}
+
 // authorize reports whether a request may be forwarded, or else returns its response.
 func (h *RequestHandler) authorize(request *protocol.Request, receivedAt time.Time) (refusal protocol.ClientResponse, passes bool) {
 	if h.server.authorizer == nil {
