Requests behind the first of a connection that waited to be accepted have their own time too

Cause: what the kernel says of the wait was taken off the first request's time alone; those read with it, behind it, counted from when they were read.

Change: the wait is put into the marks of all that was read by then.

--- a/cmd/cherrygap/syscallfault_test.go
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -140,15 +141,16 @@
 	}
 }
 
-// TestRequestsThatWaitToBeAcceptedKeepTheirTime: the time in which a connection waits with its request until accept(2)
-// works again is its client's: no server is told that more is left.
+// TestRequestsThatWaitToBeAcceptedKeepTheirTime: the time in which a connection waits with its requests until accept(2)
+// works again is its client's: no server is told that more is left, also for those behind the first.
 func TestRequestsThatWaitToBeAcceptedKeepTheirTime(t *testing.T) {
 	t.Parallel()
-	const waits, slack = 400 * time.Millisecond, 150 * time.Millisecond
-	told := make(chan time.Duration, 1)
+	const requests, waits, slack = 3, 400 * time.Millisecond, 150 * time.Millisecond
+	var sentAt time.Time
+	overstated := make(chan time.Duration, requests)
 	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		ms, _ := strconv.Atoi(r.Header.Get("X-Budget-Ms"))
-		told <- time.Duration(ms) * time.Millisecond
+		overstated <- time.Duration(ms)*time.Millisecond - (faultTimeout - time.Since(sentAt))
 		_, _ = w.Write([]byte("done"))
 	})
 	fault := &failingCall{number: unix.SYS_ACCEPT4}
@@ -156,17 +158,27 @@
 	p, _ := faultyProcess(t, fault.decide, discovery.Addr().String(), server)
 	p.eventually(t, "a listener", func() bool { return accepts(p.addr) })
 	fault.begin(unix.ENFILE)
-	statuses := make(chan int)
-	sentAt := time.Now()
-	go func() { statuses <- requestStatus(t, p.addr) }()
-	time.Sleep(waits) // the fault's length: what it takes of the request's time is measured
-	fault.on.Store(false)
-	budget, left := <-told, faultTimeout-time.Since(sentAt)
-	if more := budget - left; more > slack {
-		t.Errorf("the server was told %v more than was left", more)
+	conn := dial(t, p.addr)
+	sentAt = time.Now()
+	for i := range requests {
+		if _, err := io.WriteString(conn, requestText(fmt.Sprint("waits-", i), faultTimeout)); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if status := <-statuses; status != http.StatusOK {
-		t.Errorf("status %d", status)
+	time.Sleep(waits) // the fault's length: what it takes of the requests' time is measured
+	fault.on.Store(false)
+	reader := bufio.NewReader(conn)
+	for i := range requests {
+		if more := <-overstated; more > slack {
+			t.Errorf("request %d: the server was told %v more than was left", i, more)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("request %d: status %d, %v", i, response.StatusCode, err)
+		}
 	}
 }
 
--- a/internal/transport/arrivalmarks.go
+++ b/internal/transport/arrivalmarks.go
@@ -24,6 +24,13 @@
 	a.marks = append(a.marks, arrivalMark{upTo, now})
 }
 
+// putBack notes that all that was read so far had come so much earlier.
+func (a *arrivalMarks) putBack(wait time.Duration) {
+	for i := range a.marks {
+		a.marks[i].at = a.marks[i].at.Add(-wait)
+	}
+}
+
 // of returns when the byte at a position was read, and forgets what is before it. The zero time is that of no byte.
 func (a *arrivalMarks) of(position int) time.Time {
 	past := 0
--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -130,11 +130,11 @@
 			return c.linger()
 		}
 	}
-	if arrivedAt := c.arrivals.of(c.in.taken); !arrivedAt.IsZero() { // it may have waited behind others
-		receivedAt = arrivedAt
+	if !c.hasRequested.Load() && err == nil { // the client's time ran while its connection waited to be accepted
+		c.arrivals.putBack(c.reader.kernelWait())
 	}
-	if !c.hasRequested.Load() && err == nil { // the client's time ran while its connection waited to be accepted,
-		receivedAt = receivedAt.Add(-c.reader.kernelWait())
+	if arrivedAt := c.arrivals.of(c.in.taken); !arrivedAt.IsZero() { // and its request behind others
+		receivedAt = arrivedAt
 	}
 	if !c.waitedSince.IsZero() { // or for a slot
 		receivedAt, c.waitedSince = earlier(receivedAt, c.waitedSince), time.Time{}
