Failing tests: the gRPC front end's accept, and a poll of discovery, at calls that fail for a moment

Measured: the front end's server returns at ENOBUFS of accept(2), so that it never accepts again, with no line in the log; a poll that met ENETUNREACH for 0.1 s is made 0.97 s later, and up to 3 s later by the engine's draw.

--- a/cmd/cherrygap/syscallfault_test.go
+++ b/cmd/cherrygap/syscallfault_test.go
@@ -68,10 +68,18 @@
 
 // faultyProcess readies a node in a process of its own whose system calls a policy decides on; start starts it.
 func faultyProcess(t *testing.T, policy syscallfault.Policy, discovery string, servers ...net.Listener) (p *process, file string) {
+	t.Helper()
+	return faultyProcessWith(t, policy, discovery, func(text string) string { return text }, servers...)
+}
+
+// faultyProcessWith is faultyProcess with a change of the configuration's text.
+func faultyProcessWith(t *testing.T, policy syscallfault.Policy, discovery string, change func(string) string,
+	servers ...net.Listener,
+) (p *process, file string) {
 	t.Helper()
 	p = &process{addr: freeAddress(t)}
 	file = filepath.Join(t.TempDir(), "config.json")
-	writeFile(t, file, processConfig(p.addr, discovery, 1024, servers))
+	writeFile(t, file, change(processConfig(p.addr, discovery, 1024, servers)))
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), asNode+"=1", asFaultyNode+"=1", envConfig+"="+file)
 	p.cmd.Stderr = &p.log
@@ -331,3 +339,43 @@
 		})
 	}
 }
+
+// TestPollOutlastsWhatTheMachineLacks: where lists are asked for, a call that can't be made for a moment is made once it
+// can: the next one would be due seconds later.
+func TestPollOutlastsWhatTheMachineLacks(t *testing.T) {
+	t.Parallel()
+	const outage, atOnce = 100 * time.Millisecond, 300 * time.Millisecond
+	fault := &failingCall{number: unix.SYS_CONNECT}
+	discovery := listen(t)
+	called := make(chan time.Time, 1)
+	go func() {
+		if conn, err := discovery.Accept(); err == nil {
+			called <- time.Now()
+			_ = conn.Close()
+		}
+	}()
+	p := startFaultyProcess(t, fault, discovery.Addr().String())
+	p.eventually(t, "a call that can't be made", func() bool { return fault.failed.Load() > 0 })
+	time.Sleep(outage) // the fault's length
+	fault.on.Store(false)
+	over := time.Now()
+	select {
+	case at := <-called:
+		if late := at.Sub(over); late > atOnce {
+			t.Errorf("called %v after it could be", late)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("never called")
+	}
+}
+
+// startFaultyProcess starts a node that asks for lists, all of whose connections fail from its start on.
+func startFaultyProcess(t *testing.T, fault *failingCall, discovery string) *process {
+	t.Helper()
+	fault.begin(unix.ENETUNREACH)
+	pollConfig := func(text string) string {
+		return strings.Replace(text, `"settings":{`, `"settings":{"registry_mode":"subscribe","safety":{"ask_within":2000000},`, 1)
+	}
+	p, _ := faultyProcessWith(t, fault.decide, discovery, pollConfig)
+	return p
+}
--- /dev/null
+++ b/internal/transport/connlimit_test.go
@@ -0,0 +1,59 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failingListener fails Accept so often before it hands out its connection, and is closed after that.
+type failingListener struct {
+	net.Listener
+	errors []error
+	conn   net.Conn
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errors) > 0 {
+		err := l.errors[0]
+		l.errors = l.errors[1:]
+		return nil, err
+	}
+	if conn := l.conn; conn != nil {
+		l.conn = nil
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l *failingListener) Close() error { return nil }
+
+// Whatever accept(2) fails with for a moment, another protocol's front end goes on accepting: its server would end for good
+// at an error that does not call itself temporary, as most of these don't.
+func TestLimitedListenerOutlastsAcceptErrors(t *testing.T) {
+	client, accepted := net.Pipe()
+	t.Cleanup(func() { closeConn(client) })
+	failing := &failingListener{conn: accepted}
+	for _, errno := range []syscall.Errno{
+		syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENETUNREACH,
+		syscall.EHOSTUNREACH, syscall.ENFILE, syscall.ETIMEDOUT,
+	} {
+		failing.errors = append(failing.errors, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)})
+	}
+	listener := (&Server{limits: roomyLimits}).LimitListener(failing)
+	begun := time.Now()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	if took := time.Since(begun); took < errorPause {
+		t.Errorf("no pause between errors: all within %v", took)
+	}
+	closeConn(conn)
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("%v of a listener that is closed", err)
+	}
+}
