The gRPC front end and the polls of discovery outlast calls that fail for a moment

Cause: gRPC's server ends at an accept error that does not call itself temporary (ENOBUFS, ENOMEM, EPROTO, ENETDOWN and others), and nobody looked at what Serve returned. A poll that could not connect counted as a poll that failed.

Change: limitedListener pauses and goes on, with the line "accept failed"; callTarget.dial repeats what this machine lacks until the call's deadline.

The discovery tests of internal/transport pass.

--- a/internal/transport/connlimit.go
+++ b/internal/transport/connlimit.go
@@ -1,8 +1,12 @@
 package transport
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // limitedListener is a listener of another protocol's front end that takes no more connections at once than its part
@@ -10,6 +14,7 @@
 // crowds that come that way.
 type limitedListener struct {
 	net.Listener
+	log       *zerolog.Logger
 	slots     chan struct{} // holds one for each open connection
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -19,12 +24,14 @@
 func (s *Server) LimitListener(listener net.Listener) net.Listener {
 	return &limitedListener{
 		Listener: listener,
+		log:      s.log,
 		slots:    make(chan struct{}, s.limits.grpcConnections()),
 		closed:   make(chan struct{}),
 	}
 }
 
-// Accept waits for a slot first, so that no connection is accepted over the limit. After Close the error is net.ErrClosed.
+// Accept waits for a slot first, so that no connection is accepted over the limit. After Close the error is net.ErrClosed;
+// no other is returned, as the front end's server would end at it, however soon it passes.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	select {
 	case l.slots <- struct{}{}:
@@ -32,6 +39,11 @@
 		return nil, net.ErrClosed
 	}
 	conn, err := l.Listener.Accept()
+	for err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.Warn().Err(err).Msg("accept failed")
+		time.Sleep(errorPause)
+		conn, err = l.Listener.Accept()
+	}
 	if err != nil {
 		<-l.slots
 		return nil, err
--- a/internal/transport/connlimit_test.go
+++ b/internal/transport/connlimit_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // failingListener fails Accept so often before it hands out its connection, and is closed after that.
@@ -43,7 +45,8 @@
 	} {
 		failing.errors = append(failing.errors, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)})
 	}
-	listener := (&Server{limits: roomyLimits}).LimitListener(failing)
+	log := zerolog.Nop()
+	listener := (&Server{limits: roomyLimits, log: &log}).LimitListener(failing)
 	begun := time.Now()
 	conn, err := listener.Accept()
 	if err != nil {
--- a/internal/transport/discoverycall.go
+++ b/internal/transport/discoverycall.go
@@ -37,8 +37,7 @@
 // the bytes of the answer are added to it, and an answer that goes on coming in has more time.
 func (t callTarget) firstCall(ctx context.Context, hold, timeout time.Duration, received *atomic.Int64) callResult {
 	deadline := time.Now().Add(timeout)
-	dialer := net.Dialer{Timeout: max(t.limits.ConnectTimeout, minConnectTimeout), Deadline: deadline, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", t.addr)
+	conn, err := t.dial(ctx, deadline)
 	if err != nil {
 		return callResult{err: err}
 	}
@@ -60,6 +59,23 @@
 	return result
 }
 
+// dial connects to discovery, again and again until a deadline while this machine lacks what it takes: where the node polls,
+// the next call is seconds away.
+func (t callTarget) dial(ctx context.Context, deadline time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: max(t.limits.ConnectTimeout, minConnectTimeout), Deadline: deadline, KeepAlive: -1}
+	for {
+		conn, err := dialer.DialContext(ctx, "tcp", t.addr)
+		if err == nil || !LacksResources(err) && !lacksRoute(err) || time.Now().Add(errorPause).After(deadline) {
+			return conn, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(errorPause):
+		}
+	}
+}
+
 // progressConn is a racer's connection during its first call. An answer that goes on coming in has raceInterval more for
 // each raceProgress bytes, up to the time that a call has in any case.
 type progressConn struct {
