Failing test: a look without memory holds a request for ever; the soak test judges refusals and sends

The look for a close before a request is handed over takes "can't look" for "there is more", and waits for it to come.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -314,6 +315,9 @@
 func (c *clients) dial(node int) *clientConn {
 	conn, err := net.DialTimeout("tcp", c.nodes[node].addr, dialWithin)
 	if err != nil {
+		if n := c.nodes[node]; errors.Is(err, syscall.ECONNREFUSED) && n.inService() {
+			c.ledger.report(ruleRefused, node, "", "%v, though the node runs and was not told to end", err)
+		}
 		return nil
 	}
 	return &clientConn{Conn: conn, reader: bufio.NewReader(conn)}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -349,6 +349,8 @@
 	unix.SYS_CONNECT:        {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.EINTR},
 	unix.SYS_OPENAT:         {unix.ENFILE, unix.EMFILE, unix.ENOMEM, unix.EIO},
 	unix.SYS_PPOLL:          {unix.EINTR},
+	unix.SYS_SENDTO:         {unix.ENOBUFS, unix.ENOMEM},
+	unix.SYS_RECVFROM:       {unix.ENOMEM},
 	unix.SYS_TIMERFD_CREATE: {unix.ENFILE, unix.EMFILE, unix.ENOMEM},
 }
 
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -58,6 +58,7 @@
 	ruleReady     = "ready"      // a started node is ready in time
 	ruleEnd       = "end"        // a node ends after SIGTERM
 	ruleGuard     = "guard"      // a node's own guards count nothing
+	ruleRefused   = "refused"    // a node in service accepts connections
 	ruleMalformed = "malformed"  // bad clients get an error or a close within 3 s
 	ruleUnknown   = "unknown-id" // a server gets only requests that a client sent
 )
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -25,6 +25,7 @@
 // FaultyCalls are the system calls of nodes that a run may make fail.
 var FaultyCalls = []uint32{
 	unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT, unix.SYS_OPENAT, unix.SYS_PPOLL, unix.SYS_TIMERFD_CREATE,
+	unix.SYS_SENDTO, unix.SYS_RECVFROM,
 }
 
 // NodeCommand are the arguments by which this program is started as a node whose system calls may be made to fail.
@@ -257,6 +258,18 @@
 	return time.Now().Before(n.crowdedAt)
 }
 
+// inService tells whether the node was ready once, runs, and was not told to end.
+func (n *node) inService() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.exited:
+		return false
+	default:
+		return n.accepting && !n.ending
+	}
+}
+
 // wasKilled tells whether the node's present or last process was killed.
 func (n *node) wasKilled() bool {
 	n.mu.Lock()
