A look at a connection that the machine has no memory for holds up no request

Cause: before a request is handed over the node reads whatever lies behind it, up to a close. Whether anything does was the opposite of "open with nothing to read", which a look that failed is not: serve waited for bytes that nobody had sent, and the request for serve.

Change: a look has a third outcome, blind, which counts as no input and as no end.

--- a/internal/transport/clientconn.go
+++ b/internal/transport/clientconn.go
@@ -237,7 +237,7 @@
 
 // disconnected reports whether the client has closed its connection by now, be it behind further bytes.
 func (c *clientConn) disconnected() bool {
-	for c.in.err == nil && !c.reader.isIdle() {
+	for c.in.err == nil && c.reader.hasInput() {
 		c.makeSpace()
 		_ = c.in.readMore() // which stays in c.in.err
 	}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -24,6 +24,7 @@
 	err   error
 
 	idle      bool // as of the last peek: open with nothing to read
+	blind     bool // as of the last peek: it could not be found out
 	ended     bool // as of the last peek or hang-up check: closed or reset by the other side
 	peekedAt  [1]byte
 	readFD    func(fd uintptr) bool
@@ -70,13 +71,18 @@
 }
 
 // waitReadable waits until there is something to read or the connection ended, and reports which; neither where the
-// read deadline passed.
+// read deadline passed, or where it could not be found out.
 func (s *socket) waitReadable() (readable, ended bool) {
 	err := s.raw.Read(func(fd uintptr) bool {
 		s.tryPeek(fd)
 		return !s.idle
 	})
-	return err == nil && !s.ended, err == nil && s.ended
+	return err == nil && !s.ended && !s.blind, err == nil && s.ended
+}
+
+// hasInput reports whether there is something to read, be it the connection's end: a read would not wait.
+func (s *socket) hasInput() bool {
+	return s.raw.Read(s.peekFD) == nil && !s.idle && !s.blind
 }
 
 // isIdle reports whether the connection is open with nothing to read.
@@ -181,11 +187,12 @@
 	return true
 }
 
-// tryPeek never has to wait: what it finds is in idle and ended. Where the machine lacks the memory to look it is neither.
+// tryPeek never has to wait: what it finds is in idle and ended, or in blind where the machine lacks the memory to look.
 func (s *socket) tryPeek(fd uintptr) bool {
 	n, errno := call(syscall.SYS_RECVFROM, fd, s.peekedAt[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	s.idle = errno == syscall.EAGAIN
-	s.ended = errno != 0 && !LacksResources(errno) || errno == 0 && n == 0
+	s.blind = errno != 0 && !s.idle && LacksResources(errno)
+	s.ended = errno != 0 && !s.idle && !s.blind || errno == 0 && n == 0
 	return true
 }
 
