Soak test: a pause at the run's end is one pause

Cause of the failed run of cmd/cherrygap: TestSoakInSmall, 4 of 5 runs beside other tests and 1 of 2 alone, always request ...2be at node 1, told 115 ms too much. The node's log at level debug: nothing between two moments 315 ms apart, in a pause fault of that length. Once the run's time is over the harness no longer waited between two stops, so that four of up to 130 ms made one, and a node is only promised to be held up for 150 ms.

Change: no further stop once the run's time is over.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -158,7 +158,9 @@
 		n.signal(unix.SIGSTOP)
 		time.Sleep(between(rng, 20*time.Millisecond, 130*time.Millisecond))
 		n.signal(unix.SIGCONT)
-		sleep(ctx, between(rng, 50*time.Millisecond, 300*time.Millisecond))
+		if sleep(ctx, between(rng, 50*time.Millisecond, 300*time.Millisecond)); ctx.Err() != nil {
+			return // two stops with nothing between would be one that is too long
+		}
 	}
 }
 
