--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"time"
 
 	"cherrygap/internal/lab/discovery"
+	"cherrygap/internal/lab/workdir"
 )
 
 // Sections of a run beside those of the faults.
@@ -56,16 +56,12 @@
 	if err := cfg.CheckDescriptors(); err != nil {
 		return nil, err
 	}
-	if cfg.Dir == "" {
-		dir, err := os.MkdirTemp("", "scale")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = os.RemoveAll(dir) }()
-		cfg.Dir = dir
-	} else if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+	dir, remove, err := workdir.Open(cfg.Dir, "scale")
+	if err != nil {
 		return nil, err
 	}
+	defer remove()
+	cfg.Dir = dir
 	ctx, cancel := context.WithTimeoutCause(ctx, cfg.TimeLimit, fmt.Errorf("the hard stop, %v after the start", cfg.TimeLimit))
 	defer cancel()
 	r := &run{cfg: cfg, changedServers: map[int]bool{}}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"cherrygap/internal/lab/discovery"
+	"cherrygap/internal/lab/workdir"
 	"cherrygap/internal/protocol"
 )
 
@@ -51,16 +51,12 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	if cfg.Dir == "" {
-		dir, err := os.MkdirTemp("", "soak")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = os.RemoveAll(dir) }()
-		cfg.Dir = dir
-	} else if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+	dir, remove, err := workdir.Open(cfg.Dir, "soak")
+	if err != nil {
 		return nil, err
 	}
+	defer remove()
+	cfg.Dir = dir
 	r := &run{cfg: cfg, faultCounts: map[string]int{}}
 	defer r.killAll()
 	if err := r.setUp(ctx); err != nil {
