--- a/internal/transport/clientresponse.go
+++ b/internal/transport/clientresponse.go
@@ -101,11 +101,11 @@
 	}
 }
 
-// closeOnceTaken closes the connection once the client's machine has taken in all that was written, or the response's time
-// is over. Closed before, the connection would be reset by whatever else the client sends, and the rest of the response
-// would go with it.
+// closeOnceTaken closes the connection once the client's machine has taken in all that was written, or messageTimeout
+// later: who takes nothing in must hold no slot. Closed before, the connection would be reset by whatever else the client
+// sends, and the rest of the response would go with it.
 func (c *clientConn) closeOnceTaken(reason closeReason) {
-	deadline := c.receivedAt.Add(c.request.Timeout + responseTimeout)
+	deadline := time.Now().Add(messageTimeout)
 	for c.writer.hasUnacknowledged() && time.Now().Before(deadline) {
 		time.Sleep(acknowledgementPause)
 	}
--- a/internal/transport/closing_test.go
+++ b/internal/transport/closing_test.go
@@ -95,3 +95,18 @@
 		t.Error("closed over a request that was read ahead, once the one before was answered")
 	}
 }
+
+// A client that takes its response in never holds its slot for longer than a message may take.
+func TestAResponseThatIsNotTakenHoldsNoSlot(t *testing.T) {
+	t.Parallel()
+	node := startNode(t, settings.RetrySafe, roomyLimits, 1, echo)
+	node.server.draining.Store(true)
+	conn := node.dialWithReceiveBuffer(t, 4096)
+	writeString(conn, requestText(60_000, strings.Repeat("x", protocol.MaxBody)))
+	eventually(t, "the response", func() bool { return node.counters.Completed.Load() == 1 })
+	begun := time.Now()
+	eventually(t, "a close", func() bool { return node.openClients() == 0 })
+	if took := time.Since(begun); took < messageTimeout/2 || took > messageTimeout+time.Second {
+		t.Errorf("closed after %v", took)
+	}
+}
