--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -119,6 +119,10 @@
 	class := &requestClasses[rng.IntN(len(requestClasses))]
 	r := &request{
 		id: fmt.Sprintf("%016x", c.lastID.Add(1)|c.cfg.Seed<<40), node: node, class: class, timeout: class.timeout,
+		capped: -1, nodes: len(c.nodes),
+	}
+	if rng.IntN(100) < cappedShare {
+		r.capped = rng.IntN(cappedCustomers)
 	}
 	if h == habitShort {
 		r.timeout = shortTimeout + time.Duration(rng.Int64N(int64(shortTimeout)))
@@ -134,9 +138,13 @@
 	} else {
 		body = ""
 	}
+	plan, customer, spread, first := planName, r.node, 1, r.node
+	if r.capped >= 0 {
+		plan, customer, spread, first = cappedPlanName, r.nodes+r.capped, r.nodes, 0
+	}
 	return fmt.Sprintf("%s /%s/%016x HTTP/1.1\r\nHost: edge\r\nX-Call-Id: %s\r\nX-Tariff: %s\r\nX-Budget-Ms: %d\r\n"+
-		"X-Weight: units=1,spread=1,first=%d\r\n%s\r\n%s", r.class.method, r.class.name, r.node, r.id, planName,
-		r.timeout.Milliseconds(), r.node, length, body)
+		"X-Weight: units=1,spread=%d,first=%d\r\n%s\r\n%s", r.class.method, r.class.name, customer, r.id, plan,
+		r.timeout.Milliseconds(), spread, first, length, body)
 }
 
 // play sends what a habit sends, and waits for what is owed.
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// judgeCeilings judges what customers under the capped plan drew over the whole run.
+func (l *ledger) judgeCeilings() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, c := range l.ceilings {
+		if c.worst < 0 {
+			l.violate(ruleCeiling, -1, "", "customer %d's store fell to %.1f", i, c.worst)
+		}
+	}
+}
+
 func (l *ledger) judgeRequest(r *request) {
 	if !r.answered && r.leftAt.IsZero() && r.void == "" {
 		l.violate(ruleAnswer, r.node, r.id, "%s: no answer, %d attempts", r.class.name, len(r.attempts))
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -10,7 +10,9 @@
 type request struct {
 	id       string
 	node     int
+	nodes    int // of the fleet
 	class    *requestClass
+	capped   int       // number of its customer under the capped plan; -1: it has none
 	sentAt   time.Time // its last byte
 	timeout  time.Duration
 	leftAt   time.Time // when its client closed; zero: it stayed
@@ -54,6 +56,7 @@
 	ruleForeign   = "foreign"    // an answer is an app server's to this request
 	ruleDrain     = "drain"      // nothing new to a draining or gone server
 	ruleCold      = "cold"       // a cold server is not overrun
+	ruleCeiling   = "ceiling"    // hard ceilings hold, over restarts too
 	ruleCrash     = "crash"      // no node ends by itself
 	ruleReady     = "ready"      // a started node is ready in time
 	ruleEnd       = "end"        // a node ends after SIGTERM
@@ -82,6 +85,7 @@
 
 	mu         sync.Mutex // guards what follows, and all requests and attempts
 	requests   map[string]*request
+	ceilings   [cappedCustomers]*ceiling
 	statuses   map[int]int64
 	counts     Counts
 	violations []Violation
@@ -95,13 +99,18 @@
 	Void        int64 `json:"void"` // their node was killed
 	Attempts    int64 `json:"attempts"`
 	Retries     int64 `json:"retries"`
+	Capped      int64 `json:"capped"` // first attempts under a hard ceiling
 	Resent      int64 `json:"resent"` // sent once more, as a resting connection was closed meanwhile
 	BadClients  int64 `json:"bad_clients"`
 	LateHarness int64 `json:"late_harness"` // judged with more slack, as this process was late itself
 }
 
-func newLedger(lag *lagMeter, length time.Duration) *ledger {
-	return &ledger{startedAt: time.Now(), length: length, lag: lag, requests: map[string]*request{}, statuses: map[int]int64{}}
+func newLedger(lag *lagMeter, length time.Duration, nodes int) *ledger {
+	l := &ledger{startedAt: time.Now(), length: length, lag: lag, requests: map[string]*request{}, statuses: map[int]int64{}}
+	for i := range l.ceilings {
+		l.ceilings[i] = newCeiling(nodes, l.startedAt)
+	}
+	return l
 }
 
 // violate notes a violation. The caller holds the lock.
@@ -145,6 +154,9 @@
 	}
 	if len(r.attempts) > 0 {
 		l.counts.Retries++
+	} else if r.capped >= 0 {
+		l.counts.Capped++
+		l.ceilings[r.capped].draw(a.begunAt)
 	}
 	r.attempts = append(r.attempts, a)
 	return a
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -73,7 +73,7 @@
 func (r *run) setUp(ctx context.Context) error {
 	lag := newLagMeter()
 	go lag.run(ctx) // ends with the run
-	r.ledger = newLedger(lag, r.cfg.Duration)
+	r.ledger = newLedger(lag, r.cfg.Duration, r.cfg.Nodes)
 	endpoints := make([]discovery.Endpoint, r.cfg.Servers)
 	for i := range endpoints {
 		s, err := newAppServer(i, r.ledger, r.noticeOf)
@@ -224,6 +224,7 @@
 		s.judgeCold(r.capacity())
 	}
 	r.ledger.judge(time.Now().Add(time.Hour))
+	r.ledger.judgeCeilings()
 	result := &Result{
 		Seed: r.cfg.Seed, Nodes: r.cfg.Nodes, Seconds: r.cfg.Duration.Seconds(), Counts: r.ledger.counts, Statuses: map[string]int64{},
 		Faults: r.faultCounts, Guards: map[string]int64{},
--- a/internal/lab/soak/settings.go
+++ b/internal/lab/soak/settings.go
@@ -26,7 +26,16 @@
 	{"book", http.MethodPost, semanticsUnsafe, 1500 * time.Millisecond, time.Second},
 }
 
-const planName = "team"
+// The plans: one without limits that matter, and one with a hard ceiling for each customer over all nodes together.
+const (
+	planName       = "team"
+	cappedPlanName = "capped"
+
+	cappedShare     = 12  // of requests, in percent, under the capped plan,
+	cappedCustomers = 2   // of so many customers
+	ceilingRate     = 0.5 // units a second for each node, about half of what is asked
+	ceilingDepth    = 2.5 // units for each node
+)
 
 // What the settings promise of servers.
 const (
@@ -53,7 +62,13 @@
 	}
 	raw, err := json.Marshal(object{
 		"slot_no": node, "replicas_of_me": nodes, "tick": 2000, "registry_mode": "automatic", "services": services,
-		"tiers_of_service": []object{{"name": planName, "units_per_s": 1e6, "depth": 1e6}},
+		"tiers_of_service": []object{
+			{"name": planName, "units_per_s": 1e6, "depth": 1e6},
+			{
+				"name": cappedPlanName, "units_per_s": 1e6, "depth": 1e6, "hard_rate": ceilingRate * float64(nodes),
+				"never_over_depth": ceilingDepth * float64(nodes), "cap_slack": 0,
+			},
+		},
 		"limits": object{
 			"attempts_cap": 4, "second_copies": false, "cancel": true, "probes": false, "peers": false, "retry_after": true,
 			"max_retry_after": 2000000, "conn_idle": connIdle.Microseconds(), "connect_timeout": connectWithin.Microseconds(),
