--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -53,7 +53,7 @@
 
 
 def end_with_parent():
-    """Makes the kernel end a child process when this process ends, however that happens."""
+    """Makes the kernel end a child process when the thread that started it ends: nodes are started by the main thread."""
     ctypes.CDLL(None, use_errno=True).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
