frontend: log at level debug why a request is invalid

Cause: a client that got a 400 left only the close reason client-malformed in the log. Change: rejectRequest logs status, reason, the parser's error and the peer, at level debug, since clients can cause any number of such lines. Result: TestInvalidRequestsAreLoggedWithTheirReason passes; without the call of logInvalidRequest it fails for both requests.

--- a/internal/frontend/clientconn_test.go
+++ b/internal/frontend/clientconn_test.go
@@ -1,6 +1,7 @@
 package frontend_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,6 +41,27 @@
 	nettest.Eventually(t, "a close with reason client-closed", func() bool { return node.Log.ClosedFor(netio.ReasonClientClosed) })
 }
 
+// Without the reason an operator can't tell a smuggling attempt from a client with a wrong class. The log has the status, the
+// reason and the parser's error of each invalid request.
+func TestInvalidRequestsAreLoggedWithTheirReason(t *testing.T) {
+	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, frontendtest.Echo)
+	for text, want := range map[string]string{
+		strings.Replace(frontendtest.RequestText(100, ""), "seats", "stalls", 1):        `"error":"unknown class or plan","message":"invalid request"`,
+		strings.Replace(frontendtest.RequestText(100, ""), "Length: 0", "Length: x", 1): `"error":"malformed request","message":"invalid request"`,
+	} {
+		conn := node.Dial(t)
+		status, _, _ := frontendtest.RoundTrip(t, conn, text)
+		want = fmt.Sprintf(`"status":%d,"peer":"%v",%s`, status, conn.LocalAddr(), want)
+		if !node.Log.Contains(want) {
+			t.Errorf("request %.200q: no log line with %s", text, want)
+		}
+		nettest.Close(conn)
+	}
+	if cause := `Content-Length`; !node.Log.Contains(cause) {
+		t.Errorf("no log line with the cause %q of a malformed request", cause)
+	}
+}
+
 // An invalid request must not reach an app server. The client gets the status of the error, and then a close.
 func TestMalformedInputGetsAStatusAndAClose(t *testing.T) {
 	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, frontendtest.Echo)
--- a/internal/frontend/clientresponse.go
+++ b/internal/frontend/clientresponse.go
@@ -24,6 +24,7 @@
 func (c *clientConn) rejectRequest(err error) bool {
 	var malformed *protocol.RequestError
 	c.server.counters.MalformedRequests.Add(1)
+	c.logInvalidRequest(err)
 	if c.readBuffer.Err() != nil || !errors.As(err, &malformed) {
 		c.close(closeReasonFor(c.readBuffer.Err(), netio.ReasonClientReset))
 		return false
@@ -33,6 +34,19 @@
 	return c.linger()
 }
 
+// logInvalidRequest logs at debug level why a request is invalid.
+func (c *clientConn) logInvalidRequest(err error) {
+	event := c.server.log.Debug()
+	if !event.Enabled() {
+		return
+	}
+	var invalid *protocol.RequestError
+	if errors.As(err, &invalid) {
+		event.AnErr("cause", invalid.Err).Int("status", invalid.Status)
+	}
+	event.Stringer("peer", c.conn.RemoteAddr()).Err(err).Msg("invalid request")
+}
+
 // answerHealthCheck answers a health check of the node itself. It returns false once the connection is closed.
 func (c *clientConn) answerHealthCheck() bool {
 	draining := c.server.draining.Load()
--- a/internal/frontend/frontendtest/node.go
+++ b/internal/frontend/frontendtest/node.go
@@ -42,9 +42,14 @@
 
 // ClosedFor reports whether the log has a connection that was closed for the given reason.
 func (l *Log) ClosedFor(reason netio.CloseReason) bool {
+	return l.Contains(`"reason":"` + string(reason) + `"`)
+}
+
+// Contains reports whether the log contains text.
+func (l *Log) Contains(text string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return strings.Contains(l.buf.String(), `"reason":"`+string(reason)+`"`)
+	return strings.Contains(l.buf.String(), text)
 }
 
 // Counters holds the counters of the packages frontend and upstream.
