protocol: reject heads that leave the end of a request's body ambiguous

Cause: two readers of one head. net/http parsed it and drops or renames what it tolerates: Transfer-Encoding below HTTP/1.1, names with a space before the colon, continued lines (probe of http.ReadRequest on four heads: the header map lacks the field or has it under another name). ContentLengthScanner counted lines in the bytes, but only with the colon directly after the name. A head that one of them missed passed. Change: one reader. messagehead.go accepts the grammar that RFC 9112 asks of senders (2.2, 5.1, 5.2), framing.go derives the body's length from that head (6.1, 6.3); anything ambiguous is 400, another major version 505, and the connection ends. Why it works: a head that two recipients could read differently is not accepted, so nothing depends on the other reading. TestRequestWireFormat wanted the header name "X Bad" accepted; RFC 9112 5.1 and RFC 9110 5.1 make it a 400.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -37,11 +37,10 @@
 	// Only serve uses these fields.
 	reader      *netio.Socket // source of readBuffer
 	readBuffer  netio.RingBuffer
-	lengthLines protocol.ContentLengthScanner // scans the head that is being read
-	body        []byte                        // body buffer that requests reuse
-	arrivals    netio.ArrivalTimes            // arrival times of the bytes in readBuffer
-	queuedSince time.Time                     // start of the wait for a slot; zero without a wait and after the first request
-	handedOver  bool                          // set while handleRequests owns the request
+	body        []byte             // body buffer that requests reuse
+	arrivals    netio.ArrivalTimes // arrival times of the bytes in readBuffer
+	queuedSince time.Time          // start of the wait for a slot; zero without a wait and after the first request
+	handedOver  bool               // set while handleRequests owns the request
 
 	// The goroutine that owns the request uses these fields.
 	writer       *netio.Socket // destination of writeBuffer
@@ -212,9 +211,8 @@
 
 // readRequest reads a request whose first byte has arrived.
 func (c *clientConn) readRequest() error {
-	parser := netio.BorrowParser(c)
+	parser := netio.BorrowParser(&c.readBuffer)
 	defer netio.ReturnParser(parser)
-	c.lengthLines = protocol.ContentLengthScanner{}
 	err := protocol.ReadRequest(parser, c, &c.request, c.body)
 	c.readBuffer.EndMessage(parser)
 	return err
@@ -304,21 +302,11 @@
 	return false
 }
 
-// The methods below implement protocol.Source. ReadRequest reads the connection's requests through them.
-
-// Read reads from the ring buffer and counts the Content-Length lines.
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.readBuffer.Read(p)
-	c.lengthLines.Scan(p[:n])
-	return n, err
-}
+// The methods below implement protocol.Source. ReadRequest reads the connection's requests through them and readBuffer.
 
 // Allow sets the number of bytes that may be read from now on.
 func (c *clientConn) Allow(bytes int) { c.readBuffer.Allow(bytes) }
 
-// ContentLengthLines returns the number of Content-Length lines in the head that was read last.
-func (c *clientConn) ContentLengthLines() int { return c.lengthLines.Count() }
-
 // Continue answers "Expect: 100-continue" with an interim response.
 func (c *clientConn) Continue() error {
 	netio.SetWriteDeadline(c.conn, time.Now().Add(netio.MessageTimeout))
--- /dev/null
+++ b/internal/frontend/framing_test.go
@@ -0,0 +1,93 @@
+package frontend_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"cherrygap/internal/frontend/frontendtest"
+	"cherrygap/internal/nettest"
+	"cherrygap/internal/protocol"
+	"cherrygap/internal/settings"
+)
+
+// ambiguousHeads are heads whose body ends at different bytes for different recipients. Each has the HTTP version and the
+// framing headers, with %d for the Content-Length.
+var ambiguousHeads = []struct{ name, version, headers string }{
+	{"both headers", "1.1", "Content-Length: %d\r\nTransfer-Encoding: chunked\r\n"},
+	{"both headers in HTTP/1.0", "1.0", "Connection: keep-alive\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n"},
+	{"chunks in HTTP/1.0", "1.0", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nX-Length: %d\r\n"},
+	{"both headers in HTTP/2.0", "2.0", "Content-Length: %d\r\nTransfer-Encoding: chunked\r\n"},
+	{"space after Transfer-Encoding", "1.1", "Content-Length: %d\r\nTransfer-Encoding : chunked\r\n"},
+	{"space after Content-Length", "1.1", "Content-Length : %d\r\nTransfer-Encoding: chunked\r\n"},
+	{"tab after Content-Length", "1.1", "Content-Length\t: %d\r\nTransfer-Encoding: chunked\r\n"},
+	{"space after the only Content-Length", "1.1", "Content-Length : %d\r\n"},
+	{"space before Transfer-Encoding", "1.1", "X-A: b\r\n Transfer-Encoding: chunked\r\nContent-Length: %d\r\n"},
+	{"folded Transfer-Encoding", "1.1", "Content-Length: %d\r\nTransfer-Encoding:\r\n\tchunked\r\n"},
+	{"control after Transfer-Encoding", "1.1", "Content-Length: %d\r\nTransfer-Encoding\x0b: chunked\r\n"},
+	{"line feed within a line", "1.1", "X-A: b\nTransfer-Encoding: chunked\r\nContent-Length: %d\r\n"},
+	{"carriage return within a line", "1.1", "X-A: b\rTransfer-Encoding: chunked\r\nContent-Length: %d\r\n"},
+	{"two lengths", "1.1", "Content-Length: %d\r\nContent-Length: 0\r\n"},
+	{"list of lengths", "1.1", "Content-Length: %d, 0\r\n"},
+	{"length with a sign", "1.1", "Content-Length: +%d\r\n"},
+	{"chunks behind another coding", "1.1", "Transfer-Encoding: identity, chunked\r\nContent-Length: %d\r\n"},
+	{"two codings", "1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nX-Length: %d\r\n"},
+}
+
+// executedIDs records the request ids that app servers executed.
+type executedIDs struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+// serve records a request and answers it.
+func (e *executedIDs) serve(conn net.Conn, request *http.Request) bool {
+	e.mu.Lock()
+	e.ids[request.Header.Get(protocol.HeaderRequestID)] = true
+	e.mu.Unlock()
+	return frontendtest.Echo(conn, request)
+}
+
+// Protects against a purchase that a client hides in the body of another request and that an app server then executes. A
+// request whose head does not delimit its body unambiguously is rejected, and its connection is closed.
+func TestHiddenRequestsReachNoServer(t *testing.T) {
+	executed := executedIDs{ids: map[string]bool{}}
+	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, executed.serve)
+	for _, head := range ambiguousHeads {
+		hiddenRequest := func(id string) string {
+			return strings.Replace(frontendtest.RequestText(1000, "seat 14"), protocol.HeaderRequestID+": ", protocol.HeaderRequestID+": "+id, 1)
+		}
+		inChunks := hiddenRequest("chunks-")
+		sizeLine := fmt.Sprintf("%x\r\n", len(inChunks))
+		emptyChunks := "0\r\n\r\n"
+		inLength := emptyChunks + hiddenRequest("length-")
+		for _, body := range []struct {
+			text   string
+			length int
+		}{
+			{sizeLine + inChunks + "\r\n" + emptyChunks, len(sizeLine)}, // hidden by the chunks, behind the body by the length
+			{inLength, len(inLength)},                                   // hidden by the length, behind the body by the chunks
+		} {
+			lines, _, _ := strings.Cut(frontendtest.RequestText(1000, ""), "Content-Length")
+			lines = strings.Replace(lines, "HTTP/1.1", "HTTP/"+head.version, 1)
+			text := lines + fmt.Sprintf(head.headers, body.length) + "\r\n" + body.text
+			conn := node.Dial(t)
+			if status, _, closes := frontendtest.RoundTrip(t, conn, text); status < 400 || !closes {
+				t.Errorf("%s, length %d: status %d, closes %v; want an error status, closes true", head.name, body.length, status, closes)
+			}
+			if rest, err := io.ReadAll(conn); len(rest) > 0 || err != nil {
+				t.Errorf("%s, length %d: %q (error %v) after the first response, want a close", head.name, body.length, rest, err)
+			}
+			nettest.Close(conn)
+		}
+	}
+	executed.mu.Lock()
+	defer executed.mu.Unlock()
+	for id := range executed.ids {
+		t.Errorf("an app server executed request %s, want none", id)
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -19,7 +19,6 @@
 	text      string // part of the request that is not read yet
 	allowed   int    // number of bytes that the reader may still return
 	continues int    // number of calls of Continue
-	lengths   ContentLengthScanner
 }
 
 func (s *source) Read(p []byte) (int, error) {
@@ -31,13 +30,11 @@
 	}
 	n := copy(p[:min(len(p), s.allowed, 700)], s.text)
 	s.text, s.allowed = s.text[n:], s.allowed-n
-	s.lengths.Scan(p[:n])
 	return n, nil
 }
 
-func (s *source) Allow(n int)             { s.allowed = n }
-func (s *source) ContentLengthLines() int { return s.lengths.Count() }
-func (s *source) Continue() error         { s.continues++; return nil }
+func (s *source) Allow(n int)     { s.allowed = n }
+func (s *source) Continue() error { s.continues++; return nil }
 
 // readRequest reads a client's request from text. The connection ends after the text.
 func readRequest(text string) (Request, error) {
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MaxHead is the maximum size of a request's head, in bytes.
@@ -53,8 +55,6 @@
 	Allow(bytes int)
 	// Continue sends an interim response with status 100 (Continue).
 	Continue() error
-	// ContentLengthLines returns the number of Content-Length lines in the head that was read last.
-	ContentLengthLines() int
 }
 
 // ReadRequest reads a request from br, whose reader reads from src. It appends the body to body[:0]. An error is a
@@ -62,22 +62,26 @@
 // valid, so that the caller can reuse its buffer.
 func ReadRequest(br *bufio.Reader, src Source, r *Request, body []byte) error {
 	src.Allow(MaxHead)
-	parsed, err := http.ReadRequest(br)
+	head, err := readMessageHead(br)
 	if err != nil {
 		return malformedRequestError(err)
 	}
-	*r = Request{Method: parsed.Method, URI: parsed.RequestURI, Host: parsed.Host, Close: parsed.Close, Body: body[:0]}
-	if err := r.readBody(parsed, src, body); err != nil {
+	line, err := head.parseRequestLine()
+	if err != nil {
+		return malformedRequestError(err)
+	}
+	*r = Request{Method: line.method, URI: line.target, Host: line.host, Close: head.closesConnection(), Body: body[:0]}
+	if err := r.readBody(br, &head, src, body); err != nil {
 		return err
 	}
 	if r.IsNodeHealthCheck() {
 		return nil
 	}
-	unparsed, err := r.readHeaders(parsed.Header)
+	unparsed, err := r.readHeaders(head.header)
 	if err != nil {
 		return err
 	}
-	if err := r.readPath(parsed.URL); err != nil {
+	if err := r.readPath(line.url); err != nil {
 		return err
 	}
 	if !validID(r.ID) {
@@ -92,26 +96,59 @@
 	return nil
 }
 
-// readBody reads the body of a request. It rejects a head that states the body's length more than once, because that
-// allows request smuggling (ContentLengthScanner).
-func (r *Request) readBody(parsed *http.Request, src Source, body []byte) error {
-	if n := src.ContentLengthLines(); n > 1 || n > 0 && len(parsed.TransferEncoding) > 0 {
-		return badRequestError("body length stated more than once")
+// requestLine is a parsed request line.
+type requestLine struct {
+	method string
+	target string   // request target as the client sent it
+	url    *url.URL // parsed target
+	host   string   // host of an absolute target, otherwise the first Host header; empty if there is none
+}
+
+// parseRequestLine parses the start line of a request and sets the head's version.
+func (h *messageHead) parseRequestLine() (requestLine, error) {
+	method, rest, _ := strings.Cut(h.startLine, " ")
+	target, version, _ := strings.Cut(rest, " ")
+	if err := h.setVersion(version); err != nil {
+		return requestLine{}, err
 	}
-	if parsed.ContentLength > MaxBody {
-		return bodyTooLargeError(nil)
+	if !httpguts.ValidHeaderFieldName(method) { // A method is a token, as a field name is.
+		return requestLine{}, errStartLine
+	}
+	parsed, err := url.ParseRequestURI(target)
+	if err != nil {
+		return requestLine{}, err
 	}
-	if parsed.ContentLength == 0 {
+	line := requestLine{method: method, target: target, url: parsed, host: parsed.Host}
+	if line.host == "" {
+		line.host = h.header.Get("Host")
+	}
+	return line, nil
+}
+
+// readBody reads the body of a request. It rejects a head that states the body's length more than once, even with equal
+// values.
+func (r *Request) readBody(br *bufio.Reader, head *messageHead, src Source, body []byte) error {
+	length, err := head.statedLength()
+	if err == nil && len(head.header[headerContentLength]) > 1 {
+		err = errLengthRepeated
+	}
+	switch {
+	case errors.Is(err, errLengthRepeated):
+		return &RequestError{Status: http.StatusBadRequest, Reason: err.Error(), Err: err}
+	case err != nil:
+		return malformedRequestError(err)
+	case length > MaxBody:
+		return bodyTooLargeError(nil)
+	case length == 0 || length == lengthUnstated:
 		return nil
 	}
-	if strings.EqualFold(parsed.Header.Get(headerExpect), "100-continue") {
+	if strings.EqualFold(head.header.Get(headerExpect), "100-continue") {
 		if err := src.Continue(); err != nil {
 			return err
 		}
 	}
 	src.Allow(chunkedBodyFactor * MaxBody)
-	var err error
-	if r.Body, err = readBody(parsed.Body, body); err == nil {
+	if r.Body, err = readBody(bodyReader(br, length), body); err == nil {
 		return nil
 	}
 	if errors.Is(err, errBodyTooLarge) {
--- a/internal/protocol/requesterror.go
+++ b/internal/protocol/requesterror.go
@@ -21,6 +21,9 @@
 // ErrHeadTooLarge is the error for a head over MaxHead. A Source's reader returns it at the limit that Allow sets.
 var ErrHeadTooLarge = &RequestError{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "head too large"}
 
+// errVersion is the error for a message of another major HTTP version, whose framing is unknown.
+var errVersion = &RequestError{Status: http.StatusHTTPVersionNotSupported, Reason: "HTTP version is not 1.x"}
+
 // badRequestError returns a RequestError with status 400.
 func badRequestError(reason string) error {
 	return &RequestError{Status: http.StatusBadRequest, Reason: reason}
--- a/internal/protocol/wireformat_test.go
+++ b/internal/protocol/wireformat_test.go
@@ -140,7 +140,7 @@
 	{"head over the limit", headWith("X-Long: " + strings.Repeat("a", MaxHead) + "\r\n"), "431 head too large"},
 	{"not http", "hello\r\n\r\n", "400 malformed request"},
 	{"empty", "", "400 malformed request"},
-	{"invalid header name", headWith("X Bad: 1\r\n"), "POST /seats/x/00000000b4d65521?a=1 api type=\"\" key=\"\" id=\"9b1f\" class=\"seats\" plan=\"team\" customer=b4d65521 budget=480ms units=2.5 spread=3 first=1 body=\"\" close=false own=false"},
+	{"invalid header name", headWith("X Bad: 1\r\n"), "400 malformed request"},
 	{"truncated head", head, "400 malformed request"},
 }
 
