protocol: read a 101 ahead of an answer as interim and close behind that answer

Cause: isInterim excepted 101, so ReadServerResponse returned it as the final response, an error without a body. The connection had nothing more to read and went back to the pool while the server still owed the answer. Change: every status below 200 is interim (RFC 9110 15.2); the node asks for no other protocol, so none may be switched to (7.8). After a 101 the connection closes behind the final response. Why it works: a connection returns to the pool only behind a final response. What no HTTP follows fails as malformed. Tests: TestServerResponseWireFormat had fixed the wrong reading of 101 as expected. It now wants the final response and a close, and a malformed response where none follows.

--- a/internal/protocol/attempt.go
+++ b/internal/protocol/attempt.go
@@ -14,7 +14,7 @@
 	ContentType string  // Content-Type header; empty if the response has none
 	Body        []byte  // body of at most MaxBody bytes
 	Units       float64 // actual cost of the request in units; 0 if the response does not state it
-	Close       bool    // true if the server closes the connection after the response
+	Close       bool    // true if the connection must not carry another request; also true after status 101
 }
 
 // AppendAttempt appends the head of an attempt to b. The caller sends the request's body after it. HeaderTimeout is
@@ -55,18 +55,20 @@
 // ErrMalformedResponse is the error for a response that is not HTTP, is truncated, or has a body over MaxBody.
 var ErrMalformedResponse = errors.New("malformed response")
 
-// ReadServerResponse reads an app server's response. It appends the body to body[:0]. The only error is
-// ErrMalformedResponse, which also replaces an error of br's reader. After an error only Body is valid: it has the part
-// that was read.
+// ReadServerResponse reads an app server's final response, and skips interim ones before it. It appends the body to body[:0].
+// The only error is ErrMalformedResponse, which also replaces an error of br's reader. After an error only Body is valid: it
+// has the part that was read.
 func ReadServerResponse(br *bufio.Reader, body []byte) (ServerResponse, error) {
 	parsed, err := http.ReadResponse(br, nil)
+	closes := false
 	for err == nil && isInterim(parsed.StatusCode) {
+		closes = closes || parsed.Close || parsed.StatusCode == http.StatusSwitchingProtocols
 		parsed, err = http.ReadResponse(br, nil)
 	}
 	if err != nil || parsed.ContentLength > MaxBody {
 		return ServerResponse{}, ErrMalformedResponse
 	}
-	r := ServerResponse{Outcome: Errored, ContentType: parsed.Header.Get(headerContentType), Close: parsed.Close}
+	r := ServerResponse{Outcome: Errored, ContentType: parsed.Header.Get(headerContentType), Close: closes || parsed.Close}
 	if r.Body, err = readBody(parsed.Body, body); err != nil {
 		return r, ErrMalformedResponse
 	}
@@ -75,9 +77,8 @@
 }
 
 // isInterim reports whether a response with the status is interim, so that another response follows (RFC 9110, section 15.2).
-func isInterim(status int) bool {
-	return status < http.StatusOK && status != http.StatusSwitchingProtocols
-}
+// Status 101 is interim too: the node requests no other protocol, so a server must not switch to one (section 7.8).
+func isInterim(status int) bool { return status < http.StatusOK }
 
 // outcomeOf returns the outcome of an attempt with a complete response. HeaderRejected proves that the attempt was not
 // executed, but only together with status 503 or 504.
--- a/internal/protocol/wireformat_test.go
+++ b/internal/protocol/wireformat_test.go
@@ -233,7 +233,8 @@
 	for _, c := range []struct{ name, text, want string }{
 		{"completed", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-True-Cost: 2.5\r\nContent-Length: 2\r\n\r\nok", "completed type=\"text/plain\" body=\"ok\" units=2.5 close=false err=<nil> malformed=false"},
 		{"after an interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "completed type=\"\" body=\"ok\" units=0 close=false err=<nil> malformed=false"},
-		{"protocols switched", "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "errored type=\"\" body=\"\" units=0 close=false err=<nil> malformed=false"},
+		{"protocols switched", "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "completed type=\"\" body=\"ok\" units=0 close=true err=<nil> malformed=false"},
+		{"only protocols switched", "HTTP/1.1 101 X\r\n\r\n", "completed type=\"\" body=\"\" units=0 close=false err=malformed response malformed=true"},
 		{"created", "HTTP/1.1 201 X\r\nContent-Length: 0\r\n\r\n", "errored type=\"\" body=\"\" units=0 close=false err=<nil> malformed=false"},
 		{"error", "HTTP/1.1 500 X\r\nContent-Length: 1\r\nX-True-Cost: 7\r\n\r\nx", "errored type=\"\" body=\"x\" units=7 close=false err=<nil> malformed=false"},
 		{"rejected 503", "HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", "rejected type=\"\" body=\"\" units=0 close=false err=<nil> malformed=false"},
