protocol: treat app servers' answers with an ambiguous end as malformed

What callers saw: 200 with bytes that no app server made as the answer, as chunk framing from an HTTP/1.0 answer with Transfer-Encoding, or a response that stood in the body of one with status 099, 000, +10 or 1xx. ReadServerResponse left the head to net/http, which drops Transfer-Encoding below HTTP/1.1 and a length beside chunks, takes "Content-Length :" for another header, reads any three characters that Atoi accepts as a status, and accepts other versions. Change: answers go through the same reader as requests. What RFC 9112 lets the recipient of a response repair is repaired (tolerantGrammar: 2.2, 5.1, 5.2); two statements of the length, a coding below HTTP/1.1, a status below 100, a body where the status excludes one (9112 6.3, 9110 15.2) are malformed. Why it works: the length comes from one reading of the head, or there is none and the attempt fails, so no byte behind a doubtful end reaches a client.

--- a/internal/protocol/attempt.go
+++ b/internal/protocol/attempt.go
@@ -59,35 +59,26 @@
 // The only error is ErrMalformedResponse, which also replaces an error of br's reader. After an error only Body is valid: it
 // has the part that was read.
 func ReadServerResponse(br *bufio.Reader, body []byte) (ServerResponse, error) {
-	parsed, err := http.ReadResponse(br, nil)
-	closes := false
-	for err == nil && isInterim(parsed.StatusCode) {
-		closes = closes || parsed.Close || parsed.StatusCode == http.StatusSwitchingProtocols
-		parsed, err = http.ReadResponse(br, nil)
-	}
-	if err != nil || parsed.ContentLength > MaxBody {
+	head, err := readFinalHead(br)
+	if err != nil || head.length > MaxBody {
 		return ServerResponse{}, ErrMalformedResponse
 	}
-	r := ServerResponse{Outcome: Errored, ContentType: parsed.Header.Get(headerContentType), Close: closes || parsed.Close}
-	if r.Body, err = readBody(parsed.Body, body); err != nil {
+	r := ServerResponse{Outcome: Errored, ContentType: head.header.Get(headerContentType), Close: head.closes}
+	if r.Body, err = readBody(head.bodyReader(br, head.length), body); err != nil {
 		return r, ErrMalformedResponse
 	}
-	r.Outcome, r.Units = outcomeOf(parsed), actualUnits(parsed.Header)
+	r.Outcome, r.Units = outcomeOf(&head), actualUnits(head.header)
 	return r, nil
 }
 
-// isInterim reports whether a response with the status is interim, so that another response follows (RFC 9110, section 15.2).
-// Status 101 is interim too: the node requests no other protocol, so a server must not switch to one (section 7.8).
-func isInterim(status int) bool { return status < http.StatusOK }
-
 // outcomeOf returns the outcome of an attempt with a complete response. HeaderRejected proves that the attempt was not
 // executed, but only together with status 503 or 504.
-func outcomeOf(r *http.Response) Outcome {
-	switch r.StatusCode {
+func outcomeOf(head *responseHead) Outcome {
+	switch head.status {
 	case http.StatusOK:
 		return Completed
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if r.Header.Get(HeaderRejected) == RejectedValue {
+		if head.header.Get(HeaderRejected) == RejectedValue {
 			return Overloaded
 		}
 	}
--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -73,10 +73,10 @@
 
 // bodyReader returns a reader of the body that follows the head in br. It returns io.EOF at the end of the body, and
 // io.ErrUnexpectedEOF if the connection ends before that.
-func bodyReader(br *bufio.Reader, length bodyLength) io.Reader {
+func (h *messageHead) bodyReader(br *bufio.Reader, length bodyLength) io.Reader {
 	switch length {
 	case lengthChunked:
-		return &chunkedBody{br: br, chunks: httputil.NewChunkedReader(br)}
+		return &chunkedBody{br: br, chunks: httputil.NewChunkedReader(br), grammar: h.grammar}
 	case lengthUnstated:
 		return br
 	}
@@ -98,8 +98,9 @@
 
 // chunkedBody reads a body in chunks, including the trailer section, whose fields it checks and ignores.
 type chunkedBody struct {
-	br     *bufio.Reader
-	chunks io.Reader // the chunks' data in br, without the trailer section
+	br      *bufio.Reader
+	chunks  io.Reader // the chunks' data in br, without the trailer section
+	grammar grammar   // grammar of the trailer section
 }
 
 func (b *chunkedBody) Read(p []byte) (int, error) {
@@ -116,13 +117,13 @@
 // readTrailer reads the trailer section (RFC 9112, section 7.1.2). It returns io.ErrUnexpectedEOF if the connection ends
 // before the section does.
 func (b *chunkedBody) readTrailer() error {
-	lines, err := readSection(b.br)
+	lines, err := readSection(b.br, b.grammar)
 	switch {
 	case errors.Is(err, io.EOF):
 		return io.ErrUnexpectedEOF
 	case err != nil:
 		return err
 	}
-	_, err = parseFields(lines)
+	_, err = parseFields(lines, b.grammar)
 	return err
 }
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -62,7 +62,7 @@
 // valid, so that the caller can reuse its buffer.
 func ReadRequest(br *bufio.Reader, src Source, r *Request, body []byte) error {
 	src.Allow(MaxHead)
-	head, err := readMessageHead(br)
+	head, err := readMessageHead(br, strictGrammar)
 	if err != nil {
 		return malformedRequestError(err)
 	}
@@ -148,7 +148,7 @@
 		}
 	}
 	src.Allow(chunkedBodyFactor * MaxBody)
-	if r.Body, err = readBody(bodyReader(br, length), body); err == nil {
+	if r.Body, err = readBody(head.bodyReader(br, length), body); err == nil {
 		return nil
 	}
 	if errors.Is(err, errBodyTooLarge) {
