discovery: skip interim responses ahead of a list and frame lists as answers are

What callers saw: a node whose discovery sends a 1xx ahead of each answer got no list at all and kept its cached one. Cause: ReadEndpointList read one response and took any status but 200 for a failed call; the client reconnected and met the same. Its framing was that of net/http, as that of app servers' answers had been. Change: it reads the final response through readFinalHead, as attempts do; after a 101 the connection carries no further call.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -150,6 +152,50 @@
 	}
 }
 
+// Interim responses ahead of a list must not fail the call: the node would miss changes from a discovery that sends them with each
+// response. The client applies each list, and reuses the connection unless the interim response had status 101.
+func TestDiscoveryClientReadsListsBehindInterimResponses(t *testing.T) {
+	for _, c := range []struct {
+		interim   string
+		wantCalls int64 // number of answered calls on one connection
+	}{
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 3},
+		{"HTTP/1.1 101 Switching Protocols\r\n\r\n", 1},
+	} {
+		listener, mostCalls, lists := nettest.Listen(t), atomic.Int64{}, make(chan *protocol.EndpointList, 9)
+		go nettest.ServeConns(listener, func(conn net.Conn) {
+			calls := int64(0)
+			nettest.ServeRequests(conn, func(conn net.Conn, request *http.Request) bool {
+				revision, _ := strconv.Atoi(request.URL.Query().Get(protocol.QueryRevision))
+				if revision == 3 {
+					nettest.WaitForClose(conn)
+					return false
+				}
+				calls++
+				mostCalls.Store(max(calls, mostCalls.Load())) // one connection at a time is answered twice
+				nettest.WriteString(conn, c.interim+listResponse(fmt.Sprintf(`{"rev":%d,"all":true,"targets":[]}`, revision+1)))
+				return true
+			})
+		})
+		startDiscoveryClient(t, &Client{
+			Addr: listener.Addr().String(), NeedsFullList: true, OnList: func(list *protocol.EndpointList) { lists <- list }, OnFailure: func() {},
+		})
+		for want := uint64(1); want <= 3; want++ {
+			select {
+			case list := <-lists:
+				if list.Revision != want {
+					t.Errorf("interim %q: list with revision %d, want %d", c.interim, list.Revision, want)
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatalf("interim %q: no list with revision %d within 5 s", c.interim, want)
+			}
+		}
+		if got := mostCalls.Load(); got != c.wantCalls {
+			t.Errorf("interim %q: %d calls on one connection, want %d", c.interim, got, c.wantCalls)
+		}
+	}
+}
+
 // serveResponsesInOrder serves one connection after another and answers each call with the next response. When there is none
 // left it closes the connections.
 func serveResponsesInOrder(listener net.Listener, calls chan<- string, responses ...string) {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -126,25 +126,26 @@
 	return append(b, "\r\n\r\n"...)
 }
 
-// ReadEndpointList reads a response of discovery. closed reports whether the connection is unusable after the response. An
-// error wraps ErrMalformedList or ErrCallRejected, or is an error of net/http or of br's reader.
+// ReadEndpointList reads a final response of discovery, and skips interim ones before it. closed reports whether the connection
+// is unusable after the response. An error wraps ErrMalformedList or ErrCallRejected, tells what is malformed in the response, or
+// is an error of br's reader.
 func ReadEndpointList(br *bufio.Reader) (list EndpointList, closed bool, err error) {
-	response, err := http.ReadResponse(br, nil)
+	head, err := readFinalHead(br)
 	if err != nil {
 		return list, true, err
 	}
-	raw, err := io.ReadAll(response.Body)
+	raw, err := io.ReadAll(head.bodyReader(br, head.length))
 	if err != nil {
 		return list, true, err
 	}
-	if response.StatusCode != http.StatusOK {
-		return list, response.Close, fmt.Errorf("%w: status %d", listError(response.StatusCode), response.StatusCode)
+	if head.status != http.StatusOK {
+		return list, head.closes, fmt.Errorf("%w: status %d", listError(head.status), head.status)
 	}
 	list, err = ParseEndpointList(raw)
-	if at, dateErr := http.ParseTime(response.Header.Get("Date")); dateErr == nil {
+	if at, dateErr := http.ParseTime(head.header.Get("Date")); dateErr == nil {
 		list.ServedAt = at
 	}
-	return list, response.Close, err
+	return list, head.closes, err
 }
 
 // listError returns the error for a status other than 200. Status 429 (Too Many Requests) does not reject the call itself,
