discovery: do not read bytes behind a response as the answer to the next call

What callers saw: an answer sent twice shifted the connection by one for good, and a list that stood behind an answer was applied to the node. Cause: connection.call left bytes behind a response in its buffers, and the next call read them first. Change: such a connection carries no further call (RFC 9112, section 6.3: a client must not process such data as a separate response). The error's text says what it covers now. Why it works: a call is made only on a connection with empty buffers. Evidence: TestDiscoveryClientIgnoresBytesBehindAResponse failed before (the list with revision 90 behind the answer was applied) and passes. Open: a second answer that comes after the next call was written.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -27,7 +27,7 @@
 type callResult struct {
 	conn             *connection
 	list             protocol.EndpointList
-	connectionCloses bool // true if discovery closes the connection after this response
+	connectionCloses bool // true if the connection must not carry another call after this response
 	err              error
 	hasLongTimeout   bool // true if the timeout of the call was callTimeout, false if it was raceTimeout
 
@@ -130,6 +130,9 @@
 	c.readBuffer.Allow(protocol.MaxListBytes)
 	c.callCount++
 	result.list, result.connectionCloses, result.err = protocol.ReadEndpointList(c.parser)
+	if c.parser.Buffered() > 0 || !c.readBuffer.Empty() { // The next call would take these bytes for its response.
+		result.connectionCloses = true
+	}
 	switch {
 	case result.err == nil: // A list is valid even if the connection ended after it.
 	case c.readBuffer.Err() != nil:
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -32,8 +32,9 @@
 	reconnectInterval = 50 * time.Millisecond
 )
 
-// errConnectionClosed is the error for a connection that discovery closed after a response with Connection: close.
-var errConnectionClosed = errors.New("discovery closed the connection")
+// errConnectionClosed is the error for a connection that must not carry another call: discovery closes it after the response, has
+// sent status 101, or has sent bytes behind the response.
+var errConnectionClosed = errors.New("connection not reusable after discovery's response")
 
 // Client follows discovery over one connection at a time. While discovery does not answer, the last endpoint list stays in
 // use.
@@ -59,7 +60,7 @@
 	OnFailure    func()                       // called after a failed call; may be nil
 	PollRequests <-chan struct{}              // poll requests of the decision engine; nil in watch mode
 
-	closedAfterResponse bool // true if discovery closed the last connection after a response
+	closedAfterResponse bool // true if the last connection ended after a response (errConnectionClosed)
 
 	mu      sync.Mutex         // guards the fields below
 	newAddr string             // address to switch to; empty if there is none
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -196,6 +196,40 @@
 	}
 }
 
+// Bytes behind a response belong to no call. The client must not take them for the response to its next call (RFC 9112, section
+// 6.3), which it makes on another connection.
+func TestDiscoveryClientIgnoresBytesBehindAResponse(t *testing.T) {
+	listener, conns, lists := nettest.Listen(t), atomic.Int64{}, make(chan *protocol.EndpointList, 9)
+	go nettest.ServeConns(listener, func(conn net.Conn) {
+		first := conns.Add(1) == 1
+		nettest.ServeRequests(conn, func(conn net.Conn, request *http.Request) bool {
+			if first {
+				nettest.WriteString(conn, listResponse(`{"rev":5,"all":true,"targets":[]}`)+listResponse(`{"rev":90,"all":true,"targets":[]}`))
+				return true
+			}
+			if got := request.RequestURI; got != "/v1/servers?from=5&hold_ms=1000" {
+				t.Errorf("second call %q, want the changes since revision 5", got)
+			}
+			nettest.WriteString(conn, listResponse(`{"rev":6,"all":true,"targets":[]}`))
+			nettest.WaitForClose(conn)
+			return false
+		})
+	})
+	startDiscoveryClient(t, &Client{
+		Addr: listener.Addr().String(), NeedsFullList: true, OnList: func(list *protocol.EndpointList) { lists <- list }, OnFailure: func() {},
+	})
+	for _, want := range []uint64{5, 6} {
+		select {
+		case list := <-lists:
+			if list.Revision != want {
+				t.Errorf("list with revision %d, want %d", list.Revision, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no list with revision %d within 5 s", want)
+		}
+	}
+}
+
 // serveResponsesInOrder serves one connection after another and answers each call with the next response. When there is none
 // left it closes the connections.
 func serveResponsesInOrder(listener net.Listener, calls chan<- string, responses ...string) {
