protocol: send no 100 (Continue) to a client of HTTP/1.0

What callers saw: a client of HTTP/1.0 that sent Expect: 100-continue got a 100 first. It knows no interim responses, takes the 100 for the answer to its request and the real answer for that to its next one. Change: an expectation below HTTP/1.1 is ignored (RFC 9110, sections 10.1.1 and 15.2). Evidence: TestNoInterimResponseInHTTP10 failed before (first response 100, want 200) and passes; with HTTP/1.1 the 100 is still sent.

--- a/internal/frontend/framing_test.go
+++ b/internal/frontend/framing_test.go
@@ -91,3 +91,17 @@
 		t.Errorf("an app server executed request %s, want none", id)
 	}
 }
+
+// A client of HTTP/1.0 knows no interim responses and takes one for the final response (RFC 9110, section 15.2). Its expectation of
+// one is ignored (section 10.1.1).
+func TestNoInterimResponseInHTTP10(t *testing.T) {
+	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, frontendtest.Echo)
+	for version, want := range map[string]int{"HTTP/1.0": 200, "HTTP/1.1": 100} {
+		text := strings.Replace(frontendtest.RequestText(1000, "body"), "Content-Length", "Expect: 100-continue\r\nContent-Length", 1)
+		conn := node.Dial(t)
+		if status, _, _ := frontendtest.RoundTrip(t, conn, strings.Replace(text, "HTTP/1.1", version, 1)); status != want {
+			t.Errorf("%s with an expectation: first response has status %d, want %d", version, status, want)
+		}
+		nettest.Close(conn)
+	}
+}
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -142,7 +142,8 @@
 	case length == 0 || length == lengthUnstated:
 		return nil
 	}
-	if strings.EqualFold(head.header.Get(headerExpect), "100-continue") {
+	// A client of HTTP/1.0 knows no interim responses (RFC 9110, sections 10.1.1 and 15.2).
+	if head.minorVersion > 0 && strings.EqualFold(head.header.Get(headerExpect), "100-continue") {
 		if err := src.Continue(); err != nil {
 			return err
 		}
