protocol: reject CONNECT, whose answer would turn the connection into a tunnel

What callers saw: CONNECT with a path was forwarded, and its 200 came with a length and a body. After a 2xx to CONNECT a connection is a tunnel without such framing (RFC 9112, section 6.3), so each side read the bytes behind the head in another way, at the client and at the app server. Cause: the node treated every method's response alike. Change: CONNECT gets 501 and a close, in every form of its target. Evidence: TestConnectIsRejected failed before (200 twice and 404 once; an app server executed 2 requests) and passes.

--- a/internal/frontend/framing_test.go
+++ b/internal/frontend/framing_test.go
@@ -92,6 +92,26 @@
 	}
 }
 
+// After a response of 2xx to CONNECT a connection is a tunnel (RFC 9112, section 6.3). The node offers none, so the request must
+// not reach an app server, whatever form its target has.
+func TestConnectIsRejected(t *testing.T) {
+	executed := executedIDs{ids: map[string]bool{}}
+	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, executed.serve)
+	for _, target := range []string{protocol.RequestPath("seats", 5), "api:80", "http://api" + protocol.RequestPath("seats", 5)} {
+		text := strings.Replace(frontendtest.RequestText(1000, "x"), "POST "+protocol.RequestPath("seats", 5), "CONNECT "+target, 1)
+		conn := node.Dial(t)
+		if status, _, closes := frontendtest.RoundTrip(t, conn, text); status != http.StatusNotImplemented || !closes {
+			t.Errorf("CONNECT %s: status %d, closes %v; want 501, closes true", target, status, closes)
+		}
+		nettest.Close(conn)
+	}
+	executed.mu.Lock()
+	defer executed.mu.Unlock()
+	if len(executed.ids) > 0 {
+		t.Errorf("an app server executed %d requests with method CONNECT, want none", len(executed.ids))
+	}
+}
+
 // A client of HTTP/1.0 knows no interim responses and takes one for the final response (RFC 9110, section 15.2). Its expectation of
 // one is ignored (section 10.1.1).
 func TestNoInterimResponseInHTTP10(t *testing.T) {
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -114,6 +114,9 @@
 	if !httpguts.ValidHeaderFieldName(method) { // A method is a token, as a field name is.
 		return requestLine{}, errStartLine
 	}
+	if method == http.MethodConnect {
+		return requestLine{}, errConnectMethod
+	}
 	parsed, err := url.ParseRequestURI(target)
 	if err != nil {
 		return requestLine{}, err
--- a/internal/protocol/requesterror.go
+++ b/internal/protocol/requesterror.go
@@ -24,6 +24,10 @@
 // errVersion is the error for a message of another major HTTP version, whose framing is unknown.
 var errVersion = &RequestError{Status: http.StatusHTTPVersionNotSupported, Reason: "HTTP version is not 1.x"}
 
+// errConnectMethod is the error for a request with method CONNECT. Its response would turn the connection into a tunnel (RFC 9112,
+// section 6.3), and the node offers none.
+var errConnectMethod = &RequestError{Status: http.StatusNotImplemented, Reason: "method CONNECT"}
+
 // badRequestError returns a RequestError with status 400.
 func badRequestError(reason string) error {
 	return &RequestError{Status: http.StatusBadRequest, Reason: reason}
