protocol: a response to HEAD has no body, whatever length it states

What callers saw: HEAD ended with 503 after its whole timeout, where the app server stated the length that GET would have, as HTTP asks of it. Cause: ReadServerResponse did not know the request's method and waited for the body (RFC 9112, section 6.3, first rule). Bytes that came meanwhile would have been read as that body. Change: the method is passed to the framing of the response. To the client the node states no length of its own, since it does not know GET's.

--- a/internal/frontend/clientresponse.go
+++ b/internal/frontend/clientresponse.go
@@ -102,6 +102,7 @@
 	if late := time.Since(c.receivedAt) - c.request.Timeout; late > responseSlack {
 		c.handler.reportViolation(&c.request, faultLateResponse)
 	}
+	response.ToHead = c.request.Method == http.MethodHead
 	response.Close = c.request.Close || c.overflowed.Load() || c.server.wantsClose() && c.check.tryCloseWithResponse()
 	netio.SetWriteDeadline(c.conn, c.receivedAt.Add(c.request.Timeout+responseWriteTimeout))
 	switch {
--- a/internal/frontend/framing_test.go
+++ b/internal/frontend/framing_test.go
@@ -1,6 +1,7 @@
 package frontend_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -8,11 +9,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"cherrygap/internal/frontend/frontendtest"
 	"cherrygap/internal/nettest"
 	"cherrygap/internal/protocol"
 	"cherrygap/internal/settings"
+	"cherrygap/internal/upstream"
 )
 
 // ambiguousHeads are heads whose body ends at different bytes for different recipients. Each has the HTTP version and the
@@ -92,6 +95,40 @@
 	}
 }
 
+// Responses to HEAD have no body, whatever length they state (RFC 9112, section 6.3). The node must not wait for a body from the app
+// server, nor send a length of its own to the client, and both connections must stay usable.
+func TestHeadRequestsHaveNoBody(t *testing.T) {
+	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, func(conn net.Conn, request *http.Request) bool {
+		nettest.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n")
+		if request.Method != http.MethodHead {
+			nettest.WriteString(conn, "body")
+		}
+		return true
+	})
+	conn := node.Dial(t)
+	reader := bufio.NewReader(conn)
+	for _, method := range []string{http.MethodHead, http.MethodGet, http.MethodHead} {
+		lines, _, _ := strings.Cut(frontendtest.RequestText(2000, ""), "Content-Length")
+		nettest.WriteString(conn, strings.Replace(lines, http.MethodPost, method, 1)+"\r\n")
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			t.Fatalf("read the response to %s: %v", method, err)
+		}
+		body, err := io.ReadAll(response.Body)
+		want, wantLength := "body", int64(4)
+		if method == http.MethodHead {
+			want, wantLength = "", -1
+		}
+		if err != nil || response.StatusCode != http.StatusOK || string(body) != want || response.ContentLength != wantLength {
+			t.Errorf("%s: status %d, body %q, length %d, error %v; want 200, %q, %d", method, response.StatusCode, body, response.ContentLength, err, want, wantLength)
+		}
+		time.Sleep(upstream.ReuseDelay)
+	}
+	if dials := node.Counters.Upstream.Dials.Load(); dials != 1 {
+		t.Errorf("%d connections dialled to the app server, want 1", dials)
+	}
+}
+
 // After a response of 2xx to CONNECT a connection is a tunnel (RFC 9112, section 6.3). The node offers none, so the request must
 // not reach an app server, whatever form its target has.
 func TestConnectIsRejected(t *testing.T) {
--- a/internal/protocol/attempt.go
+++ b/internal/protocol/attempt.go
@@ -55,11 +55,11 @@
 // ErrMalformedResponse is the error for a response that is not HTTP, is truncated, or has a body over MaxBody.
 var ErrMalformedResponse = errors.New("malformed response")
 
-// ReadServerResponse reads an app server's final response, and skips interim ones before it. It appends the body to body[:0].
-// The only error is ErrMalformedResponse, which also replaces an error of br's reader. After an error only Body is valid: it
+// ReadServerResponse reads an app server's final response to a request with the given method, and skips interim ones before it. It
+// appends the body to body[:0]. The only error is ErrMalformedResponse, which also replaces an error of br's reader. After an error only Body is valid: it
 // has the part that was read.
-func ReadServerResponse(br *bufio.Reader, body []byte) (ServerResponse, error) {
-	head, err := readFinalHead(br)
+func ReadServerResponse(br *bufio.Reader, method string, body []byte) (ServerResponse, error) {
+	head, err := readFinalHead(br, method)
 	if err != nil || head.length > MaxBody {
 		return ServerResponse{}, ErrMalformedResponse
 	}
--- a/internal/protocol/clientresponse.go
+++ b/internal/protocol/clientresponse.go
@@ -13,6 +13,7 @@
 	RetryAfter  time.Duration // Retry-After header; 0 or less if there is none
 	Body        []byte
 	Close       bool // true if the node closes the connection after the response
+	ToHead      bool // true for the response to a request with method HEAD: it has no body, and Body must be empty
 }
 
 // HTTP statuses of the responses to requests. The gRPC front end maps them to gRPC status codes.
@@ -34,8 +35,10 @@
 	b = strconv.AppendInt(b, int64(r.Status), 10)
 	b = append(b, ' ')
 	b = append(b, http.StatusText(r.Status)...)
-	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+	if !r.ToHead { // The length would have to be that of the response to GET (RFC 9110, section 8.6).
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+	}
 	if r.ContentType != "" {
 		b = append(b, "\r\n"+headerContentType+": "...)
 		b = append(b, r.ContentType...)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math/rand"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -159,7 +160,7 @@
 
 // readResponse reads a server's response from text. The connection ends after the text.
 func readResponse(text string) (ServerResponse, error) {
-	return ReadServerResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	return ReadServerResponse(bufio.NewReader(strings.NewReader(text)), http.MethodGet, nil)
 }
 
 // A wrong outcome would cause an unsafe retry, or prevent a safe one. The outcome depends on the status, and for 503 and 504
--- a/internal/protocol/response.go
+++ b/internal/protocol/response.go
@@ -28,11 +28,12 @@
 
 // readFinalHead reads heads of responses up to the first final one. Interim responses have no body (RFC 9110, section 15.2).
 // One with status 101 is interim too: the node requests no other protocol, so a server must not switch to one (section 7.8).
-// After it, the server may expect another protocol all the same, so the connection must not carry another request.
-func readFinalHead(br *bufio.Reader) (responseHead, error) {
+// After it, the server may expect another protocol all the same, so the connection must not carry another request. method is that
+// of the request.
+func readFinalHead(br *bufio.Reader, method string) (responseHead, error) {
 	closes := false
 	for {
-		head, err := readResponseHead(br)
+		head, err := readResponseHead(br, method)
 		if err != nil {
 			return responseHead{}, err
 		}
@@ -44,8 +45,8 @@
 	}
 }
 
-// readResponseHead reads the head of one response.
-func readResponseHead(br *bufio.Reader) (responseHead, error) {
+// readResponseHead reads the head of one response to a request with the given method.
+func readResponseHead(br *bufio.Reader, method string) (responseHead, error) {
 	message, err := readMessageHead(br, tolerantGrammar)
 	if err != nil {
 		return responseHead{}, err
@@ -54,7 +55,7 @@
 	if err := head.parseStatusLine(); err != nil {
 		return responseHead{}, err
 	}
-	if head.length, err = head.bodyLength(); err != nil {
+	if head.length, err = head.bodyLength(method); err != nil {
 		return responseHead{}, err
 	}
 	head.closes = head.closesConnection() || head.length == lengthUnstated
@@ -74,15 +75,21 @@
 	return h.setVersion(version)
 }
 
-// bodyLength returns the length of the response's body (RFC 9112, section 6.3). A response whose status excludes a body must not
-// state one. Status 304 may, but only in the response to a conditional request, which the node never sends.
-func (h *responseHead) bodyLength() (bodyLength, error) {
+// bodyLength returns the length of the body of a response to a request with the given method (RFC 9112, section 6.3). A final
+// response to HEAD states the length of a body that it does not have. A response whose status excludes a body must not state one.
+// Status 304 may, but only in the response to a conditional request, which the node never sends.
+func (h *responseHead) bodyLength(method string) (bodyLength, error) {
 	length, err := h.statedLength()
-	hasNoBody := h.status < http.StatusOK || h.status == http.StatusNoContent || h.status == http.StatusNotModified
-	if err != nil || !hasNoBody {
-		return length, err
-	}
-	if length == lengthChunked || length > 0 {
+	interim := h.status < http.StatusOK
+	excludesBody := interim || h.status == http.StatusNoContent || h.status == http.StatusNotModified
+	switch {
+	case err != nil:
+		return 0, err
+	case method == http.MethodHead && !interim:
+		return 0, nil
+	case !excludesBody:
+		return length, nil
+	case length == lengthChunked || length > 0:
 		return 0, errUnexpectedBody
 	}
 	return 0, nil
--- a/internal/protocol/response_test.go
+++ b/internal/protocol/response_test.go
@@ -1,7 +1,10 @@
 package protocol
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -87,3 +90,20 @@
 		})
 	}
 }
+
+// Protects against a wait for a body that a response to HEAD does not have, or against reading the next response as that body.
+func TestResponsesToHeadHaveNoBody(t *testing.T) {
+	const rest = "HTTP/1.1 200 OK\r\n"
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+	} {
+		br := bufio.NewReader(strings.NewReader(text + rest))
+		r, err := ReadServerResponse(br, http.MethodHead, nil)
+		unread, _ := io.ReadAll(br)
+		if err != nil || r.Outcome != Completed || len(r.Body) > 0 || r.Close || string(unread) != rest {
+			t.Errorf("ReadServerResponse of %q to HEAD: outcome %v, body %q, closes %v, error %v, %q unread; want completed without a body and %q unread",
+				text, r.Outcome, r.Body, r.Close, err, unread, rest)
+		}
+	}
+}
--- a/internal/protocol/wireformat_test.go
+++ b/internal/protocol/wireformat_test.go
@@ -200,6 +200,7 @@
 		{"failed, closing", ClientResponse{Status: StatusFailed, Close: true}, "before|HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
 		{"all", ClientResponse{Status: 503, ContentType: "a/b", RetryAfter: time.Hour, Close: true, Body: []byte("xy")}, "before|HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\nContent-Type: a/b\r\nRetry-After: 3600.000\r\nConnection: close\r\n\r\n"},
 		{"bad request", ClientResponse{Status: http.StatusRequestHeaderFieldsTooLarge, Close: true}, "before|HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"},
+		{"to head", ClientResponse{Status: 200, ContentType: "a/b", ToHead: true}, "before|HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n\r\n"},
 		{"unknown status", ClientResponse{Status: 799}, "before|HTTP/1.1 799 \r\nContent-Length: 0\r\n\r\n"},
 	} {
 		expect(t, c.name, string(AppendResponseHead([]byte("before|"), &c.response)), c.want)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -195,7 +195,7 @@
 	}
 	r.pool.counters.Attempts.Add(1)
 	sent.conn.requestCount++
-	return r.receive(sent.conn)
+	return r.receive(sent.conn, request.Method)
 }
 
 // failedOutcomes maps the close reason of a connection whose response could not be read to the attempt's outcome.
@@ -205,11 +205,11 @@
 	netio.ReasonServerReset:     protocol.ConnectionReset,
 }
 
-// receive reads the response to a request that was written completely. It then returns the connection to the pool or closes
+// receive reads the response to a request with the given method that was written completely. It then returns the connection to the pool or closes
 // it.
-func (r *AttemptRunner) receive(conn *serverConn) protocol.ServerResponse {
+func (r *AttemptRunner) receive(conn *serverConn, method string) protocol.ServerResponse {
 	sentAt, filledBefore := time.Now(), conn.readBuffer.Filled()
-	response, err := conn.readResponse(r.body)
+	response, err := conn.readResponse(method, r.body)
 	if response.Body != nil {
 		r.body = response.Body
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,12 +34,13 @@
 	return c.readBuffer.Empty() && c.reader.IsIdle()
 }
 
-// readResponse reads one response, within the connection's deadline. It appends the response's body to body[:0].
-func (c *serverConn) readResponse(body []byte) (protocol.ServerResponse, error) {
+// readResponse reads the response to a request with the given method, within the connection's deadline. It appends the response's
+// body to body[:0].
+func (c *serverConn) readResponse(method string, body []byte) (protocol.ServerResponse, error) {
 	parser := netio.BorrowParser(&c.readBuffer)
 	defer netio.ReturnParser(parser)
 	c.readBuffer.Allow(maxResponse)
-	response, err := protocol.ReadServerResponse(parser, body)
+	response, err := protocol.ReadServerResponse(parser, method, body)
 	c.readBuffer.EndMessage(parser)
 	return response, err
 }
--- a/internal/upstream/healthrequest.go
+++ b/internal/upstream/healthrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"cherrygap/internal/netio"
@@ -32,7 +33,7 @@
 		return false
 	}
 	conn.requestCount++
-	response, err := conn.readResponse(nil)
+	response, err := conn.readResponse(http.MethodGet, nil)
 	if reason := conn.closeReason(response, err); reason == reusable {
 		h.pool.put(conn)
 	} else {
