upstream: a 200 that began before the request was complete is not its answer

What callers saw: on a new connection, a 200 that the app server sent before it had the whole request was served, and the connection was kept while the server could still answer that request; the next one would have got it. Cause: writeRequest drops a used connection with bytes before the last byte, but left those on a new one to receive, which read them like any answer. So a final 200 that began earlier is malformed; an earlier error stands, and the connection closes behind it; an earlier interim response is allowed.

--- a/internal/netio/ringbuffer.go
+++ b/internal/netio/ringbuffer.go
@@ -89,6 +89,15 @@
 // Buffered returns the number of buffered bytes.
 func (b *RingBuffer) Buffered() int { return b.filled - b.taken }
 
+// Peek returns buffered bytes without taking them out. They are valid until the next read. At the end of the memory they may be
+// fewer than Buffered.
+func (b *RingBuffer) Peek() []byte {
+	if b.Empty() {
+		return nil
+	}
+	return b.contiguous(b.taken, b.Buffered())
+}
+
 // Wait blocks until the buffer holds a byte or the stream fails.
 func (b *RingBuffer) Wait() error {
 	for b.Empty() && b.err == nil {
--- a/internal/protocol/response.go
+++ b/internal/protocol/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
@@ -45,6 +46,17 @@
 	}
 }
 
+// interimStatusClass is the first digit of the status of an interim response, at a fixed offset of the status line.
+const (
+	interimStatusClass       = '1'
+	interimStatusClassOffset = len("HTTP/1.1 ")
+)
+
+// BeginsInterimResponse reports whether text begins with the status line of an interim response.
+func BeginsInterimResponse(text []byte) bool {
+	return bytes.HasPrefix(text, []byte("HTTP/1.")) && len(text) > interimStatusClassOffset && text[interimStatusClassOffset] == interimStatusClass
+}
+
 // readResponseHead reads the head of one response to a request with the given method.
 func readResponseHead(br *bufio.Reader, method string) (responseHead, error) {
 	message, err := readMessageHead(br, tolerantGrammar)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,6 +24,7 @@
 	idleSince               time.Time     // time of the dial or of the last response, when the server's idle timeout started
 	requestCount            int           // number of requests written completely
 	requestCountAtPut       int           // value of requestCount at the last Pool.put
+	earlyResponse           bool          // true if a final response began before the last byte of the first request
 }
 
 // usable reports whether an idle connection is open and has nothing to read. On a connection that the server has closed, a
@@ -42,9 +43,30 @@
 	c.readBuffer.Allow(maxResponse)
 	response, err := protocol.ReadServerResponse(parser, method, body)
 	c.readBuffer.EndMessage(parser)
+	if err == nil && c.earlyResponse {
+		return checkEarlyResponse(response)
+	}
 	return response, err
 }
 
+// checkEarlyInput reads the bytes that have arrived, of which there must be at least one, and sets earlyResponse unless they begin
+// an interim response. A server may send one as soon as it has read a request's head.
+func (c *serverConn) checkEarlyInput() {
+	_ = c.readBuffer.ReadMore() // readBuffer.Err keeps the error
+	c.earlyResponse = !protocol.BeginsInterimResponse(c.readBuffer.Peek())
+}
+
+// checkEarlyResponse checks a response that began before the request was complete. A server executes only complete requests, so a
+// response with outcome Completed answers another one. An error may be the answer, such as a rejection for too many connections. In
+// any case the server may answer the request later, so the connection must not carry another one.
+func checkEarlyResponse(response protocol.ServerResponse) (protocol.ServerResponse, error) {
+	if response.Outcome == protocol.Completed {
+		return protocol.ServerResponse{Body: response.Body}, protocol.ErrMalformedResponse
+	}
+	response.Close = true
+	return response, nil
+}
+
 // reusable is the result of closeReason for a connection that can return to the pool.
 const reusable netio.CloseReason = ""
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -105,7 +105,8 @@
 // later, and an unsafe request could not be retried.
 //
 // On a connection that was used before, bytes that arrive before the last byte belong to an earlier response. They would
-// otherwise be read as the response to this request. On a new connection, receive reads such bytes as the response.
+// otherwise be read as the response to this request. On a new connection, they may be an interim response or an error
+// (checkEarlyInput, checkEarlyResponse).
 func (r *AttemptRunner) writeRequest(conn *serverConn, deadline time.Time) writeResult {
 	// Check the client immediately before each write.
 	if r.CheckClient() == ClientDisconnected || conn.writeBuffer.FlushExcept(1) != nil {
@@ -115,6 +116,9 @@
 	netio.SetReadDeadline(conn.conn, r.sendCheck.firstByteAt.Add(conn.resetWait))
 	readiness := conn.reader.WaitReadable()
 	interrupted := r.restoreDeadline(conn, deadline)
+	if readiness == netio.Readable && conn.requestCount == 0 {
+		conn.checkEarlyInput()
+	}
 	switch {
 	case readiness == netio.Readable && conn.requestCount > 0:
 		return writeStaleInput
