quotastore: do not take a repeated reply for the reply to the next exchange

What callers saw: nothing shown in service; Redis replies once. Where a store or proxy sends a reply twice, an exchange for one customer is evaluated with the entries of another. Cause: a reply names neither customer nor exchange. go-redis finds unread bytes before an exchange and behind a reply, not a second reply that comes when the next exchange is written. Change: where the store supports ECHO, a transaction begins with an ECHO of the exchange's id, and a reply with another id is malformed. Keys and entries are unchanged; a store without ECHO is used as before. Tests: TestExchangeWireFormat has the ECHO that a new connection sends.

--- a/internal/lab/store/commands.go
+++ b/internal/lab/store/commands.go
@@ -24,6 +24,7 @@
 // commands are the supported commands by name, in upper case.
 var commands = map[string]command{
 	"PING":    {minArgs: 1, run: (*call).ping},
+	"ECHO":    {minArgs: 2, run: (*call).echo},
 	"SELECT":  {minArgs: 1, run: (*call).ok},
 	"CLIENT":  {minArgs: 1, run: (*call).client},
 	"GET":     {minArgs: 2, run: (*call).get},
@@ -84,6 +85,9 @@
 // ping runs PING.
 func (c *call) ping() { c.WriteString("PONG") }
 
+// echo runs ECHO.
+func (c *call) echo() { c.WriteBulkString(c.args[1]) }
+
 // ok replies OK. It runs the commands that have no effect.
 func (c *call) ok() { c.WriteString("OK") }
 
--- a/internal/quotastore/quotas.go
+++ b/internal/quotastore/quotas.go
@@ -26,7 +26,7 @@
 // Quotas enforces the quotas at one node with leases from a store. It is safe for concurrent use. Only Close waits for the
 // store.
 type Quotas struct {
-	client    *redis.Client // connections to the store
+	client    *storeClient // connections to the store
 	log       *zerolog.Logger
 	startedAt time.Time      // time of Open by the wall clock and the monotonic clock
 	done      chan struct{}  // channel that Close closes
@@ -46,7 +46,7 @@
 		done:      make(chan struct{}),
 		startedAt: startedAt,
 		ledger:    quota.New(cfg, time.Duration(startedAt.UnixNano())),
-		client: redis.NewClient(&redis.Options{
+		client: newStoreClient(&redis.Options{
 			Addr:                  addr,
 			ClientName:            clientName,
 			Protocol:              2,
--- a/internal/quotastore/transaction.go
+++ b/internal/quotastore/transaction.go
@@ -4,7 +4,8 @@
 //
 // All nodes of a fleet share the keys and fields, also while nodes of different versions run. An exchange is one MULTI/EXEC
 // transaction. The transaction sets the store's id if there is none, adds the entry, sets the entries' time to live, and
-// reads the entries.
+// reads the entries. If the store supports ECHO, the transaction begins with an ECHO of the exchange's id. A reply with another id
+// belongs to an earlier exchange on the connection: the store sent it twice, or too late.
 
 import (
 	"context"
@@ -33,12 +34,16 @@
 var ErrMalformedReply = errors.New("malformed reply of the quota store")
 
 // putAndRead carries out an exchange. An error wraps one of the client, or ErrMalformedReply.
-func putAndRead(ctx context.Context, client *redis.Client, exchange quota.Exchange) (quota.Reply, error) {
+func putAndRead(ctx context.Context, client *storeClient, exchange quota.Exchange) (quota.Reply, error) {
 	key := fmt.Sprintf(entriesKeyFormat, uint64(exchange.Key), int64(exchange.Window))
 	field := fmt.Sprintf(entryFieldFormat, int(exchange.Put.Node), int(exchange.Put.Sequence))
-	var storeID *redis.StringCmd
+	exchangeID := strconv.FormatUint(uint64(exchange.ID), 10)
+	var echo, storeID *redis.StringCmd
 	var entries *redis.MapStringStringCmd
 	_, err := client.TxPipelined(ctx, func(p redis.Pipeliner) error {
+		if client.hasEcho.Load() {
+			echo = p.Echo(ctx, exchangeID)
+		}
 		p.SetNX(ctx, storeIDKey, rand.Uint64()|1, 0) // odd, because the id 0 stands for no store
 		storeID = p.Get(ctx, storeIDKey)
 		p.HSet(ctx, key, field, strconv.FormatFloat(exchange.Put.Cap, 'g', -1, 64))
@@ -49,6 +54,9 @@
 	if err != nil {
 		return quota.Reply{}, fmt.Errorf("exchange for key %s: %w", key, err)
 	}
+	if echo != nil && echo.Val() != exchangeID {
+		return quota.Reply{}, fmt.Errorf("exchange for key %s: %w: it is for exchange %q, want %s", key, ErrMalformedReply, echo.Val(), exchangeID)
+	}
 	id, err := storeID.Uint64()
 	if err != nil {
 		return quota.Reply{}, fmt.Errorf("%w: store id in key %s: %w", ErrMalformedReply, storeIDKey, err)
--- a/internal/quotastore/wireformat_test.go
+++ b/internal/quotastore/wireformat_test.go
@@ -115,6 +115,7 @@
 	// opening holds the commands of a new connection, and the beginning of each transaction.
 	const opening = "*2\r\n$5\r\nhello\r\n$1\r\n2\r\n" +
 		"*3\r\n$6\r\nclient\r\n$7\r\nsetname\r\n$6\r\nedge-3\r\n" +
+		"*2\r\n$4\r\necho\r\n$10\r\nquota:echo\r\n" + // The scripted store replies OK, so it does not support ECHO.
 		"*1\r\n$5\r\nmulti\r\n" +
 		"*3\r\n$5\r\nsetnx\r\n$11\r\nquota:store\r\nRANDOM " +
 		"*2\r\n$3\r\nget\r\n$11\r\nquota:store\r\n"
