--- a/internal/protocol/attempt.go
+++ b/internal/protocol/attempt.go
@@ -64,7 +64,7 @@
 		return ServerResponse{}, ErrMalformedResponse
 	}
 	r := ServerResponse{Outcome: Errored, ContentType: head.header.Get(headerContentType), Close: head.closes}
-	if r.Body, err = readBody(head.bodyReader(br, head.length), body); err != nil {
+	if r.Body, err = readBody(bodyReader(br, head.length), body); err != nil {
 		return r, ErrMalformedResponse
 	}
 	r.Outcome, r.Units = outcomeOf(&head), actualUnits(head.header)
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return list, true, err
 	}
-	raw, err := io.ReadAll(head.bodyReader(br, head.length))
+	raw, err := io.ReadAll(bodyReader(br, head.length))
 	if err != nil {
 		return list, true, err
 	}
--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -73,10 +73,10 @@
 
 // bodyReader returns a reader of the body that follows the head in br. It returns io.EOF at the end of the body, and
 // io.ErrUnexpectedEOF if the connection ends before that.
-func (h *messageHead) bodyReader(br *bufio.Reader, length bodyLength) io.Reader {
+func bodyReader(br *bufio.Reader, length bodyLength) io.Reader {
 	switch length {
 	case lengthChunked:
-		return &chunkedBody{br: br, chunks: httputil.NewChunkedReader(br), grammar: h.grammar}
+		return &chunkedBody{br: br, chunks: httputil.NewChunkedReader(br)}
 	case lengthUnstated:
 		return br
 	}
@@ -98,9 +98,8 @@
 
 // chunkedBody reads a body in chunks, including the trailer section, whose fields it checks and ignores.
 type chunkedBody struct {
-	br      *bufio.Reader
-	chunks  io.Reader // the chunks' data in br, without the trailer section
-	grammar grammar   // grammar of the trailer section
+	br     *bufio.Reader
+	chunks io.Reader // the chunks' data in br, without the trailer section
 }
 
 func (b *chunkedBody) Read(p []byte) (int, error) {
@@ -114,16 +113,17 @@
 	return n, io.EOF
 }
 
-// readTrailer reads the trailer section (RFC 9112, section 7.1.2). It returns io.ErrUnexpectedEOF if the connection ends
+// readTrailer reads the trailer section (RFC 9112, section 7.1.2). Its grammar is always strict, because its last line end is part
+// of the body's framing. It returns io.ErrUnexpectedEOF if the connection ends
 // before the section does.
 func (b *chunkedBody) readTrailer() error {
-	lines, err := readSection(b.br, b.grammar)
+	lines, err := readSection(b.br, strictGrammar)
 	switch {
 	case errors.Is(err, io.EOF):
 		return io.ErrUnexpectedEOF
 	case err != nil:
 		return err
 	}
-	_, err = parseFields(lines, b.grammar)
+	_, err = parseFields(lines, strictGrammar)
 	return err
 }
--- a/internal/protocol/framing_test.go
+++ b/internal/protocol/framing_test.go
@@ -133,7 +133,6 @@
 // Protects against a body that ends before or after its framing does, so that the rest is read as another message. Every
 // malformed chunk and trailer section is an error.
 func TestChunkedBodyEndsAtItsTrailer(t *testing.T) {
-	strict := messageHead{grammar: strictGrammar}
 	for _, c := range []struct{ name, text, body, rest string }{
 		{"no trailer", "2\r\nok\r\n0\r\n\r\nrest", "ok", "rest"},
 		{"trailer", "2\r\nok\r\n0\r\nX-Sum: 1\r\nX-More:\r\n\r\nrest", "ok", "rest"},
@@ -142,7 +141,7 @@
 		{"leading zeros", "0002\r\nok\r\n000\r\n\r\nrest", "ok", "rest"},
 	} {
 		br := bufio.NewReaderSize(strings.NewReader(c.text), 64)
-		body, err := io.ReadAll(strict.bodyReader(br, lengthChunked))
+		body, err := io.ReadAll(bodyReader(br, lengthChunked))
 		rest, _ := io.ReadAll(br)
 		if string(body) != c.body || err != nil || string(rest) != c.rest {
 			t.Errorf("%s: body %q, error %v, rest %q; want body %q and rest %q", c.name, body, err, rest, c.body, c.rest)
@@ -164,7 +163,7 @@
 		"size over 64 bits":             "10000000000000002\r\nok\r\n0\r\n\r\n",
 		"space before a size":           " 2\r\nok\r\n0\r\n\r\n",
 	} {
-		if body, err := io.ReadAll(strict.bodyReader(bufio.NewReader(strings.NewReader(text)), lengthChunked)); err == nil {
+		if body, err := io.ReadAll(bodyReader(bufio.NewReader(strings.NewReader(text)), lengthChunked)); err == nil {
 			t.Errorf("%s: body %q without an error, want an error", name, body)
 		}
 	}
--- a/internal/protocol/messagehead.go
+++ b/internal/protocol/messagehead.go
@@ -21,7 +21,7 @@
 	errFieldValue = errors.New("field value contains a control character")
 )
 
-// grammar is the strictness with which a head or trailer section is read.
+// grammar is the strictness with which a head is read.
 type grammar int
 
 const (
@@ -45,7 +45,6 @@
 	startLine    string
 	header       http.Header // fields under canonical names, with values in the order of the lines
 	minorVersion int         // minor HTTP version; set by the parser of the start line
-	grammar      grammar     // grammar of the head and of a trailer section after its body
 }
 
 // readMessageHead reads the head of a message, without parsing the start line. A head over MaxHead gives ErrHeadTooLarge.
@@ -57,7 +56,7 @@
 	}
 	startLine, fields, _ := strings.Cut(lines, "\n")
 	header, err := parseFields(fields, g)
-	return messageHead{startLine: strings.TrimSuffix(startLine, "\r"), header: header, grammar: g}, err
+	return messageHead{startLine: strings.TrimSuffix(startLine, "\r"), header: header}, err
 }
 
 // readSection reads lines up to and including an empty one, and returns those before it with their line ends.
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -152,7 +152,7 @@
 		}
 	}
 	src.Allow(chunkedBodyFactor * MaxBody)
-	if r.Body, err = readBody(head.bodyReader(br, length), body); err == nil {
+	if r.Body, err = readBody(bodyReader(br, length), body); err == nil {
 		return nil
 	}
 	if errors.Is(err, errBodyTooLarge) {
