lab soak: interim and ambiguous answers, and requests hidden in others' bodies

Change: misbehave also sends 1xx ahead of answers (101 too) or answers with an ambiguous end and a foreign one inside; malformed clients also hide a request in the body of one with an ambiguous length (four heads).

--- a/internal/lab/soak/malformedclient.go
+++ b/internal/lab/soak/malformedclient.go
@@ -17,7 +17,7 @@
 )
 
 // malformedInputs lists the texts that malformed clients send before they wait for an error response or a close.
-var malformedInputs = []string{
+var malformedInputs = append([]string{
 	"",
 	"nonsense\r\n\r\n",
 	"POST /book/0000000000000001 HTTP/1.1\r\nHost: edge\r\nContent-Le",
@@ -27,7 +27,7 @@
 		Timeout: time.Millisecond, Units: 1, Spread: 1,
 	})) + "Content-Length: 0\r\n\r\n",
 	"GET /find/0000000000000001 HTTP/1.1\r\nHost: edge\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-}
+}, ambiguousRequests()...)
 
 // runMalformedClients starts malformed clients at random times, until ctx ends.
 func (c *clients) runMalformedClients(ctx context.Context) {
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -25,14 +25,16 @@
 type behaviour int32
 
 const (
-	behaveNormally behaviour = iota
-	behaveHang               // The server reads requests, and responds only after a minute.
-	behaveReset              // The server reads complete requests and resets the connection.
-	behaveTruncate           // The server resets the connection after half a response.
-	behaveReject             // The server rejects requests without executing them.
-	behaveFail               // The server responds with status 500.
-	behaveStall              // The server does not begin to read requests, and hangs on one for which it was already waiting.
-	behaviourCount           // number of behaviours, itself not a behaviour
+	behaveNormally  behaviour = iota
+	behaveHang                // The server reads requests, and responds only after a minute.
+	behaveReset               // The server reads complete requests and resets the connection.
+	behaveTruncate            // The server resets the connection after half a response.
+	behaveReject              // The server rejects requests without executing them.
+	behaveFail                // The server responds with status 500.
+	behaveStall               // The server does not begin to read requests, and hangs on one for which it was already waiting.
+	behaveInterim             // The server sends an interim response before the service time of each request.
+	behaveAmbiguous           // The server executes requests, and its responses end at different bytes for different recipients.
+	behaviourCount            // number of behaviours, itself not a behaviour
 )
 
 // earlyIdleTimeout is the idle timeout of a server that closes idle connections early.
@@ -171,6 +173,9 @@
 	default:
 		serviceTime = minServiceTime + time.Duration(rand.Int64N(int64(maxServiceTime-minServiceTime)))
 	}
+	if current == behaveInterim && writeInterim(conn) != nil {
+		return false
+	}
 	if serviceTime > 0 && connClosed(conn, reader, serviceTime) {
 		return false
 	}
@@ -186,6 +191,8 @@
 	case behaveReject:
 		rejected := protocol.HeaderRejected + ": " + protocol.RejectedValue
 		return appserver.WriteResponse(conn, http.StatusServiceUnavailable, "full", rejected) == nil
+	case behaveAmbiguous:
+		return writeAmbiguous(conn) == nil
 	case behaveFail:
 		return appserver.WriteResponse(conn, http.StatusInternalServerError, "failed") == nil
 	}
