--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -1,8 +1,10 @@
 package protocol
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http/httputil"
 )
 
 // MaxBody is the maximum size of the body of a request or response, in bytes.
@@ -31,3 +33,60 @@
 		}
 	}
 }
+
+// bodyReader returns a reader of the body that follows the head in br. It returns io.EOF at the end of the body, and
+// io.ErrUnexpectedEOF if the connection ends before that.
+func bodyReader(br *bufio.Reader, length bodyLength) io.Reader {
+	switch length {
+	case lengthChunked:
+		return &chunkedBody{br: br, chunks: httputil.NewChunkedReader(br)}
+	case lengthUnstated:
+		return br
+	}
+	return &fixedBody{rest: io.LimitedReader{R: br, N: int64(length)}}
+}
+
+// fixedBody reads a body of a fixed length.
+type fixedBody struct {
+	rest io.LimitedReader
+}
+
+func (b *fixedBody) Read(p []byte) (int, error) {
+	n, err := b.rest.Read(p)
+	if errors.Is(err, io.EOF) && b.rest.N > 0 {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedBody reads a body in chunks, including the trailer section, whose fields it checks and ignores.
+type chunkedBody struct {
+	br     *bufio.Reader
+	chunks io.Reader // the chunks' data in br, without the trailer section
+}
+
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := b.readTrailer(); err != nil {
+		return n, err
+	}
+	return n, io.EOF
+}
+
+// readTrailer reads the trailer section (RFC 9112, section 7.1.2). Its grammar is always strict, because its last line end is part
+// of the body's framing. It returns io.ErrUnexpectedEOF if the connection ends
+// before the section does.
+func (b *chunkedBody) readTrailer() error {
+	lines, err := readSection(b.br, strictGrammar)
+	switch {
+	case errors.Is(err, io.EOF):
+		return io.ErrUnexpectedEOF
+	case err != nil:
+		return err
+	}
+	_, err = parseFields(lines, strictGrammar)
+	return err
+}
--- a/internal/protocol/messagehead.go
+++ b/internal/protocol/messagehead.go
@@ -34,6 +34,9 @@
 	tolerantGrammar
 )
 
+// MaxHead is the maximum size of a message's head, and of a trailer section, in bytes.
+const MaxHead = 16 << 10
+
 // lineEnd ends each line of a head and of a trailer section.
 const lineEnd = "\r\n"
 
--- a/internal/upstream/healthcheck.go
+++ b/internal/upstream/healthcheck.go
@@ -70,7 +70,7 @@
 	h.notifyRun()
 }
 
-// ReceivePeerMessage processes a peer's message, which begins with healthcheck.MessageMark. It reports whether the message
+// ReceivePeerMessage processes a peer's message, which begins with healthcheck.MagicByte. It reports whether the message
 // was well-formed.
 func (h *HealthChecker) ReceivePeerMessage(from int, payload []byte) bool {
 	h.mu.Lock()
