protocol: reject a request with two Host headers

What callers saw: the node forwarded the first Host, where another recipient takes the last; RFC 9112, section 3.2, asks for a 400. Cause: Host was read with Header.Get, unlike the other single headers. Change: it is checked like those, with an absolute target too. Evidence: two cases of TestRequestWireFormat, accepted before, get 400.

--- a/internal/protocol/names.go
+++ b/internal/protocol/names.go
@@ -20,6 +20,7 @@
 	headerContentType    = "Content-Type"
 	headerIdempotencyKey = "Idempotency-Key"
 	headerExpect         = "Expect"
+	headerHost           = "Host"
 )
 
 // Headers of app servers' responses.
--- a/internal/protocol/readrequest.go
+++ b/internal/protocol/readrequest.go
@@ -65,7 +65,7 @@
 	method string
 	target string   // request target as the client sent it
 	url    *url.URL // parsed target
-	host   string   // host of an absolute target, otherwise the first Host header; empty if there is none
+	host   string   // host of an absolute target, otherwise the Host header; empty if there is none
 }
 
 // parseRequestLine parses the start line of a request and sets the head's version.
@@ -87,7 +87,7 @@
 	}
 	line := requestLine{method: method, target: target, url: parsed, host: parsed.Host}
 	if line.host == "" {
-		line.host = h.header.Get("Host")
+		line.host = h.header.Get(headerHost)
 	}
 	return line, nil
 }
--- a/internal/protocol/requestfields.go
+++ b/internal/protocol/requestfields.go
@@ -29,8 +29,9 @@
 	r.ContentType, r.IdempotencyKey = h.get(headerContentType), h.get(headerIdempotencyKey)
 	r.ID, r.Plan = h.get(HeaderRequestID), h.get(HeaderPlan)
 	unparsed := unparsedHeaders{timeout: h.get(HeaderTimeout), weight: h.get(HeaderWeight)}
+	h.get(headerHost) // checks that the header is not repeated; r.Host may come from an absolute target
 	if h.err == nil && !httpguts.ValidHeaderFieldValue(r.Host) {
-		h.err = invalidHeaderError("Host")
+		h.err = invalidHeaderError(headerHost)
 	}
 	return unparsed, h.err
 }
--- a/internal/protocol/wireformat_test.go
+++ b/internal/protocol/wireformat_test.go
@@ -121,6 +121,8 @@
 	{"health check of the node", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", "GET /healthz a type=\"\" key=\"\" id=\"\" class=\"\" plan=\"\" customer=0 budget=0s units=0 spread=0 first=0 body=\"\" close=false own=true"},
 	{"health check with a query", "GET /healthz?x HTTP/1.1\r\nHost: a\r\n\r\n", "404 path without request class and customer"},
 	{"no host", "GET /healthz HTTP/1.1\r\n\r\n", "GET /healthz  type=\"\" key=\"\" id=\"\" class=\"\" plan=\"\" customer=0 budget=0s units=0 spread=0 first=0 body=\"\" close=false own=true"},
+	{"two hosts", headWith("Host: other\r\n"), "400 repeated or unprintable Host"},
+	{"two hosts and an absolute URI", strings.Replace(headWith("Host: other\r\n"), "/seats/x/", "http://third/seats/x/", 1), "400 repeated or unprintable Host"},
 	{"host with a control", headReplace("Host: api", "Host: a\x01"), "400 malformed request"},
 	{"http 1.0", strings.Replace(headWith(""), "HTTP/1.1", "HTTP/1.0", 1), "POST /seats/x/00000000b4d65521?a=1 api type=\"\" key=\"\" id=\"9b1f\" class=\"seats\" plan=\"team\" customer=b4d65521 budget=480ms units=2.5 spread=3 first=1 body=\"\" close=true own=false"},
 	{"connection close", headWith("Connection: close\r\n"), "POST /seats/x/00000000b4d65521?a=1 api type=\"\" key=\"\" id=\"9b1f\" class=\"seats\" plan=\"team\" customer=b4d65521 budget=480ms units=2.5 spread=3 first=1 body=\"\" close=true own=false"},
