protocol: reject names that resemble the framing headers but for underscores

Cause: to RFC 9112 these are other headers, so the head was unambiguous to the node; a recipient that hands headers on as CGI variables can't tell them from the framing headers (RFC 3875, section 4.1.18). Change: such names are a 400 in requests; other underscores stay allowed.

--- a/internal/frontend/framing_test.go
+++ b/internal/frontend/framing_test.go
@@ -32,6 +32,8 @@
 	{"space before Transfer-Encoding", "1.1", "X-A: b\r\n Transfer-Encoding: chunked\r\nContent-Length: %d\r\n"},
 	{"folded Transfer-Encoding", "1.1", "Content-Length: %d\r\nTransfer-Encoding:\r\n\tchunked\r\n"},
 	{"control after Transfer-Encoding", "1.1", "Content-Length: %d\r\nTransfer-Encoding\x0b: chunked\r\n"},
+	{"underscore in Transfer-Encoding", "1.1", "Content-Length: %d\r\nTransfer_Encoding: chunked\r\n"},
+	{"underscore in Content-Length", "1.1", "Content_Length: %d\r\nTransfer-Encoding: chunked\r\n"},
 	{"line feed within a line", "1.1", "X-A: b\nTransfer-Encoding: chunked\r\nContent-Length: %d\r\n"},
 	{"carriage return within a line", "1.1", "X-A: b\rTransfer-Encoding: chunked\r\nContent-Length: %d\r\n"},
 	{"two lengths", "1.1", "Content-Length: %d\r\nContent-Length: 0\r\n"},
--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -24,6 +24,13 @@
 	headerTransferEncoding = "Transfer-Encoding"
 )
 
+// resemblesFramingHeader reports whether a field name is that of a framing header with underscores for hyphens. Recipients that pass
+// headers on as CGI variables can't tell the two names apart (RFC 3875, section 4.1.18).
+func resemblesFramingHeader(name string) bool {
+	hyphenated := strings.ReplaceAll(name, "_", "-")
+	return hyphenated != name && (strings.EqualFold(hyphenated, headerContentLength) || strings.EqualFold(hyphenated, headerTransferEncoding))
+}
+
 // bodyLength is the length of a body in bytes, or one of the constants below.
 type bodyLength int64
 
--- a/internal/protocol/framing_test.go
+++ b/internal/protocol/framing_test.go
@@ -36,61 +36,67 @@
 	return n, nil
 }
 
+// headCases are heads of requests with the lengths or errors that they have in the strict grammar.
+var headCases = []struct {
+	name, text string
+	want       bodyLength
+	wantErr    error
+}{
+	{"none", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", lengthUnstated, nil},
+	{"one", "GET / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody", 4, nil},
+	{"two", "GET / HTTP/1.1\r\nContent-Length: 4\r\nHost: a\r\nContent-Length: 5\r\n\r\n", 0, errLengthsDiffer},
+	{"mixed case", "GET / HTTP/1.1\r\ncOnTeNt-lEnGtH:4\r\n\r\n", 4, nil},
+	{"leading zeros", "GET / HTTP/1.1\r\nContent-Length: 004\r\n\r\n", 4, nil},
+	{"tabs around the value", "GET / HTTP/1.1\r\nContent-Length:\t4 \t\r\n\r\n", 4, nil},
+	{"without a value", "GET / HTTP/1.1\r\ncontent-length:\r\n\r\n", 0, errLengthMalformed},
+	{"list", "GET / HTTP/1.1\r\nContent-Length: 4, 4\r\n\r\n", 0, errLengthMalformed},
+	{"sign", "GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 0, errLengthMalformed},
+	{"negative", "GET / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", 0, errLengthMalformed},
+	{"hexadecimal", "GET / HTTP/1.1\r\nContent-Length: 0x4\r\n\r\n", 0, errLengthMalformed},
+	{"over 63 bits", "GET / HTTP/1.1\r\nContent-Length: 9223372036854775808\r\n\r\n", 0, errLengthMalformed},
+	{"over 64 bits", "GET / HTTP/1.1\r\nContent-Length: 18446744073709551620\r\n\r\n", 0, errLengthMalformed},
+	{"longer name", "GET / HTTP/1.1\r\nContent-Lengths: 4\r\nX-Content-Length: 4\r\n\r\n", lengthUnstated, nil},
+	{"underscore for a hyphen", "GET / HTTP/1.1\r\nContent_Length: 4\r\n\r\n", 0, errFieldResemblance},
+	{"underscore in the other header", "GET / HTTP/1.1\r\nContent-Length: 4\r\ntransfer_encoding: chunked\r\n\r\n", 0, errFieldResemblance},
+	{"underscore in an unrelated name", "GET / HTTP/1.1\r\nX_Content_Length: 4\r\n\r\n", lengthUnstated, nil},
+	{"space before the colon", "GET / HTTP/1.1\r\nContent-Length : 4\r\n\r\n", 0, errFieldName},
+	{"tab before the colon", "GET / HTTP/1.1\r\nContent-Length\t: 4\r\n\r\n", 0, errFieldName},
+	{"space before the first name", "GET / HTTP/1.1\r\n Content-Length: 4\r\n\r\n", 0, errFieldName},
+	{"folded line", "GET / HTTP/1.1\r\nHost: a\r\n\tContent-Length: 4\r\n\r\n", 0, errFieldName},
+	{"folded line without a colon", "GET / HTTP/1.1\r\nContent-Length:\r\n 4\r\n\r\n", 0, errFieldName},
+	{"no name", "GET / HTTP/1.1\r\n: 4\r\n\r\n", 0, errFieldName},
+	{"no colon", "GET / HTTP/1.1\r\nContent-Length\r\n\r\n", 0, errFieldName},
+	{"control in the name", "GET / HTTP/1.1\r\nContent-Length\x00: 4\r\n\r\n", 0, errFieldName},
+	{"control in a value", "GET / HTTP/1.1\r\nX: a\x00\r\n\r\n", 0, errFieldValue},
+	{"CR in a value", "GET / HTTP/1.1\r\nX: a\rContent-Length: 4\r\n\r\n", 0, errFieldValue},
+	{"two CR before LF", "GET / HTTP/1.1\r\nContent-Length: 4\r\r\n\r\n", 0, errFieldValue},
+	{"line that ends with LF", "GET / HTTP/1.1\r\nX: a\nContent-Length: 4\r\n\r\n", 0, errLineEnd},
+	{"head that ends with LF", "GET / HTTP/1.1\r\nHost: a\r\n\nGET /b HTTP/1.1\r\n\r\n", 0, errLineEnd},
+	{"head that ends with CR CR LF", "GET / HTTP/1.1\r\nHost: a\r\n\r\r\n\r\n", 0, errFieldName},
+	{"name in a header's value", "GET / HTTP/1.1\r\nX: content-length:\r\n\r\n", lengthUnstated, nil},
+	{"after the head", "GET / HTTP/1.1\r\n\r\nContent-Length: 4\r\n", lengthUnstated, nil},
+	{"chunks", "GET / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", lengthChunked, nil},
+	{"chunks and a length", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", 0, errLengthRepeated},
+	{"unknown coding and a length", "GET / HTTP/1.1\r\nTransfer-Encoding: x\r\nContent-Length: 4\r\n\r\n", 0, errLengthRepeated},
+	{"chunks and a length in HTTP/1.0", "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", 0, errLengthRepeated},
+	{"chunks in HTTP/1.0", "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 0, errCodingVersion},
+	{"unknown coding", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\n\r\n", 0, errCodingUnknown},
+	{"parameter of chunks", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked;a=b\r\n\r\n", 0, errCodingUnknown},
+	{"empty coding", "GET / HTTP/1.1\r\nTransfer-Encoding:\r\n\r\n", 0, errCodingUnknown},
+	{"two codings", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 0, errCodingUnknown},
+	{"HTTP/0.9", "GET / HTTP/0.9\r\nContent-Length: 4\r\n\r\n", 0, errVersion},
+	{"HTTP/2.0", "GET / HTTP/2.0\r\nContent-Length: 4\r\n\r\n", 0, errVersion},
+	{"two spaces in the request line", "GET /  HTTP/1.1\r\n\r\n", 0, errStartLine},
+	{"no version", "GET /\r\n\r\n", 0, errStartLine},
+	{"method that is no token", "G@T / HTTP/1.1\r\n\r\n", 0, errStartLine},
+	{"head over the limit", "GET / HTTP/1.1\r\nX: " + strings.Repeat("a", MaxHead) + "\r\n\r\n", 0, ErrHeadTooLarge},
+	{"head without an end", "GET / HTTP/1.1\r\nContent-Length: 4\r\n", 0, io.EOF},
+}
+
 // Protects against request smuggling: a head that recipients delimit differently must not be accepted, and an unambiguous one
 // must keep its length. The result must not depend on the pieces in which the bytes of a head arrive.
 func TestStatedLengthOfRequests(t *testing.T) {
-	for _, c := range []struct {
-		name, text string
-		want       bodyLength
-		wantErr    error
-	}{
-		{"none", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", lengthUnstated, nil},
-		{"one", "GET / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody", 4, nil},
-		{"two", "GET / HTTP/1.1\r\nContent-Length: 4\r\nHost: a\r\nContent-Length: 5\r\n\r\n", 0, errLengthsDiffer},
-		{"mixed case", "GET / HTTP/1.1\r\ncOnTeNt-lEnGtH:4\r\n\r\n", 4, nil},
-		{"leading zeros", "GET / HTTP/1.1\r\nContent-Length: 004\r\n\r\n", 4, nil},
-		{"tabs around the value", "GET / HTTP/1.1\r\nContent-Length:\t4 \t\r\n\r\n", 4, nil},
-		{"without a value", "GET / HTTP/1.1\r\ncontent-length:\r\n\r\n", 0, errLengthMalformed},
-		{"list", "GET / HTTP/1.1\r\nContent-Length: 4, 4\r\n\r\n", 0, errLengthMalformed},
-		{"sign", "GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 0, errLengthMalformed},
-		{"negative", "GET / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", 0, errLengthMalformed},
-		{"hexadecimal", "GET / HTTP/1.1\r\nContent-Length: 0x4\r\n\r\n", 0, errLengthMalformed},
-		{"over 63 bits", "GET / HTTP/1.1\r\nContent-Length: 9223372036854775808\r\n\r\n", 0, errLengthMalformed},
-		{"over 64 bits", "GET / HTTP/1.1\r\nContent-Length: 18446744073709551620\r\n\r\n", 0, errLengthMalformed},
-		{"longer name", "GET / HTTP/1.1\r\nContent-Lengths: 4\r\nX-Content-Length: 4\r\n\r\n", lengthUnstated, nil},
-		{"space before the colon", "GET / HTTP/1.1\r\nContent-Length : 4\r\n\r\n", 0, errFieldName},
-		{"tab before the colon", "GET / HTTP/1.1\r\nContent-Length\t: 4\r\n\r\n", 0, errFieldName},
-		{"space before the first name", "GET / HTTP/1.1\r\n Content-Length: 4\r\n\r\n", 0, errFieldName},
-		{"folded line", "GET / HTTP/1.1\r\nHost: a\r\n\tContent-Length: 4\r\n\r\n", 0, errFieldName},
-		{"folded line without a colon", "GET / HTTP/1.1\r\nContent-Length:\r\n 4\r\n\r\n", 0, errFieldName},
-		{"no name", "GET / HTTP/1.1\r\n: 4\r\n\r\n", 0, errFieldName},
-		{"no colon", "GET / HTTP/1.1\r\nContent-Length\r\n\r\n", 0, errFieldName},
-		{"control in the name", "GET / HTTP/1.1\r\nContent-Length\x00: 4\r\n\r\n", 0, errFieldName},
-		{"control in a value", "GET / HTTP/1.1\r\nX: a\x00\r\n\r\n", 0, errFieldValue},
-		{"CR in a value", "GET / HTTP/1.1\r\nX: a\rContent-Length: 4\r\n\r\n", 0, errFieldValue},
-		{"two CR before LF", "GET / HTTP/1.1\r\nContent-Length: 4\r\r\n\r\n", 0, errFieldValue},
-		{"line that ends with LF", "GET / HTTP/1.1\r\nX: a\nContent-Length: 4\r\n\r\n", 0, errLineEnd},
-		{"head that ends with LF", "GET / HTTP/1.1\r\nHost: a\r\n\nGET /b HTTP/1.1\r\n\r\n", 0, errLineEnd},
-		{"head that ends with CR CR LF", "GET / HTTP/1.1\r\nHost: a\r\n\r\r\n\r\n", 0, errFieldName},
-		{"name in a header's value", "GET / HTTP/1.1\r\nX: content-length:\r\n\r\n", lengthUnstated, nil},
-		{"after the head", "GET / HTTP/1.1\r\n\r\nContent-Length: 4\r\n", lengthUnstated, nil},
-		{"chunks", "GET / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", lengthChunked, nil},
-		{"chunks and a length", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", 0, errLengthRepeated},
-		{"unknown coding and a length", "GET / HTTP/1.1\r\nTransfer-Encoding: x\r\nContent-Length: 4\r\n\r\n", 0, errLengthRepeated},
-		{"chunks and a length in HTTP/1.0", "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", 0, errLengthRepeated},
-		{"chunks in HTTP/1.0", "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 0, errCodingVersion},
-		{"unknown coding", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\n\r\n", 0, errCodingUnknown},
-		{"parameter of chunks", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked;a=b\r\n\r\n", 0, errCodingUnknown},
-		{"empty coding", "GET / HTTP/1.1\r\nTransfer-Encoding:\r\n\r\n", 0, errCodingUnknown},
-		{"two codings", "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 0, errCodingUnknown},
-		{"HTTP/0.9", "GET / HTTP/0.9\r\nContent-Length: 4\r\n\r\n", 0, errVersion},
-		{"HTTP/2.0", "GET / HTTP/2.0\r\nContent-Length: 4\r\n\r\n", 0, errVersion},
-		{"two spaces in the request line", "GET /  HTTP/1.1\r\n\r\n", 0, errStartLine},
-		{"no version", "GET /\r\n\r\n", 0, errStartLine},
-		{"method that is no token", "G@T / HTTP/1.1\r\n\r\n", 0, errStartLine},
-		{"head over the limit", "GET / HTTP/1.1\r\nX: " + strings.Repeat("a", MaxHead) + "\r\n\r\n", 0, ErrHeadTooLarge},
-		{"head without an end", "GET / HTTP/1.1\r\nContent-Length: 4\r\n", 0, io.EOF},
-	} {
+	for _, c := range headCases {
 		t.Run(c.name, func(t *testing.T) {
 			for size := 1; size <= min(len(c.text), 99); size++ { // size is the number of bytes of each piece.
 				if got, err := readFramedRequest(c.text, size); got != c.want || !errors.Is(err, c.wantErr) {
--- a/internal/protocol/messagehead.go
+++ b/internal/protocol/messagehead.go
@@ -19,6 +19,8 @@
 	errStartLine  = errors.New("malformed start line")
 	errFieldName  = errors.New("field name is not a token directly followed by a colon")
 	errFieldValue = errors.New("field value contains a control character")
+
+	errFieldResemblance = errors.New("field name resembles Content-Length or Transfer-Encoding")
 )
 
 // grammar is the strictness with which a head is read.
@@ -26,8 +28,9 @@
 
 const (
 	// strictGrammar accepts only what RFC 9112 prescribes for senders: lines end with CRLF (section 2.2), field names are
-	// tokens that the colon follows directly (section 5.1), and no field extends over several lines (section 5.2). It is for
-	// clients, because a client may sit behind a recipient that reads the same bytes in another way.
+	// tokens that the colon follows directly (section 5.1), and no field extends over several lines (section 5.2). Names that
+	// resemble those of the framing headers are rejected too. It is for clients, because a client may sit behind a recipient that
+	// reads the same bytes in another way.
 	strictGrammar grammar = iota
 	// tolerantGrammar also accepts what these sections let a client of a server repair: lines that end with LF, space before the
 	// colon, which is removed, and continued lines, which are joined with a space.
@@ -132,6 +135,9 @@
 	if !hasColon || !httpguts.ValidHeaderFieldName(name) {
 		return field{}, errFieldName
 	}
+	if g == strictGrammar && resemblesFramingHeader(name) {
+		return field{}, errFieldResemblance
+	}
 	return parseValue(field{name: textproto.CanonicalMIMEHeaderKey(name)}, value)
 }
 
