frontend: closing.go owns when and why a client connection ends

Need: clientconn.go, clientresponse.go, drain.go, eviction.go, memory.go, server.go and linger's callers each closed connections, so the question which close may lose what had to be answered from all of them.

Change: closing.go has every close. The server's own initiative is tryEnd with an endCause (drain while idle, drain over, slot needed, memory needed), which names the reason and what keeps the connection open. Drain, eviction and memory relief only choose connections. No behaviour is meant to change.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -10,16 +9,11 @@
 	"time"
 
 	"cherrygap/internal/cpubudget"
-	"cherrygap/internal/invariant"
 	"cherrygap/internal/membudget"
 	"cherrygap/internal/netio"
 	"cherrygap/internal/protocol"
 )
 
-// lingerTimeout is the longest time for which the node discards a client's input before it closes the connection, so that
-// the client can read its last response. It also bounds the write of the response to an invalid request.
-const lingerTimeout = 250 * time.Millisecond
-
 // clientConn is one HTTP connection of a client. Two goroutines work on it:
 //   - serve, which the Server starts, reads the connection throughout, and so detects a client that disconnects while its
 //     request is in flight. It ends with the connection.
@@ -28,7 +22,7 @@
 //
 // The channel handled passes the request back to serve. The comments on the fields say which goroutine uses them; both use the
 // atomic fields and the channel. Any goroutine may call close,
-// evictable, expectsFirstRequest, closeWouldLoseData and the methods of check.
+// tryEnd, evictable, expectsFirstRequest and the methods of check.
 type clientConn struct {
 	server     *Server
 	conn       *net.TCPConn
@@ -104,35 +98,6 @@
 	c.sharedHandler.Store(c.handler)
 }
 
-// close closes the connection. Only the first call has an effect, so its reason is logged. Any goroutine may call close.
-func (c *clientConn) close(reason netio.CloseReason) {
-	c.closeOnce.Do(func() {
-		c.reason = reason
-		if reason.IsNodeInitiated() && !c.check.inPhase(phaseClosed) {
-			invariant.Violated(&c.server.counters.CloseViolations, c.server.log, invariant.Closing).Str("reason", string(reason)).
-				Stringer("peer", c.conn.RemoteAddr()).Int("requests", c.requestCount).Msg(invariant.ViolatedMessage)
-		}
-		close(c.ended)
-		c.closeSocket()
-	})
-}
-
-// closeSocket closes the socket and charges the time that it takes, unless the connection's requests were forwarded and none was
-// rejected.
-func (c *clientConn) closeSocket() {
-	startedAt := time.Now()
-	netio.CloseConn(c.conn)
-	took := time.Since(startedAt)
-	switch reserved := time.Duration(c.reservedClose.Swap(0)); {
-	case reserved > 0:
-		c.server.overhead.chargeClose(took, reserved)
-	case c.forwarded.Load():
-		c.server.overhead.measure(took)
-	default:
-		c.server.overhead.chargeWhole(cpubudget.Accept, took)
-	}
-}
-
 // serve reads one request after another and hands each over, until the connection is closed.
 func (c *clientConn) serve() {
 	c.markIdle()
@@ -181,13 +146,6 @@
 	return c.acceptedAt.Add(time.Duration(c.idleSince.Load()))
 }
 
-// closeWouldLoseData reports whether a close would lose pending input or a response that is not acknowledged yet. Input that is
-// discarded is not lost.
-func (c *clientConn) closeWouldLoseData() bool {
-	pending := !c.check.inPhase(phaseLingering) && netio.HasPendingInput(c.conn)
-	return pending || c.writer.HasUnacknowledged()
-}
-
 // serveNext waits for the next request, reads it and hands it over. It also waits while a request is in flight, and so
 // detects a client that disconnects. It returns false once the connection is closed.
 func (c *clientConn) serveNext() bool {
@@ -200,12 +158,7 @@
 		}
 	}
 	if input.err != nil {
-		reason := netio.ReasonClientClosed
-		if input.clientDisconnected {
-			reason = netio.ReasonClientDisconnected
-		}
-		c.close(closeReasonFor(input.err, reason))
-		return false
+		return c.closeEnded(input)
 	}
 	c.setIdle(false)
 	c.paceUnforwarded(readAt)
@@ -300,8 +253,7 @@
 		c.server.counters.ClientsGone.Add(1)
 		c.server.requestIDs.release(c.request.ID, false)
 		c.releaseRequest()
-		c.close(closeReasonFor(c.readBuffer.Err(), netio.ReasonClientDisconnected))
-		return false
+		return c.closeEnded(inputState{err: c.readBuffer.Err(), clientDisconnected: true})
 	}
 	if c.handler == nil {
 		c.startHandler()
@@ -314,46 +266,10 @@
 	return true
 }
 
-// closeUnread closes the connection before a request whose rest is not read any more.
-func (c *clientConn) closeUnread() {
-	c.releaseRequest()
-	if c.check.tryClose(dropPartial) {
-		c.closeAfterAcknowledgement(c.server.closeReason())
-	}
-}
-
 // hasClientClosed reports whether the client has closed its connection. It does not read, so handleInFlight may call it while
 // serve reads.
 func (c *clientConn) hasClientClosed() bool { return c.writer.HungUp() }
 
-// markRejected makes the connection one of the first to be evicted. What it costs from now on is overhead.
-func (c *clientConn) markRejected() {
-	c.served.Store(false)
-	c.hasRequested.Store(false)
-	c.forwarded.Store(false)
-}
-
-// linger discards input until the client closes or lingerTimeout has passed, and then closes the connection for a reason. A close
-// with unread input would reset the connection, and the client might lose its last response. It always returns false, as
-// serveNext does for a closed connection.
-func (c *clientConn) linger(reason netio.CloseReason) bool {
-	c.releaseRequest()
-	until := time.Now().Add(lingerTimeout)
-	netio.SetReadDeadline(c.conn, until)
-	_ = c.conn.CloseWrite() // fails only for a closed connection, which the next read reports
-	c.markRejected()
-	c.check.linger()
-	if c.overflowed.CompareAndSwap(false, true) {
-		c.server.discarding.Add(1)
-	}
-	c.discardInput(until)
-	if c.writer.Unacknowledged() > maxUnacknowledged { // the kernel would keep the response
-		c.reset(reason)
-	}
-	c.close(reason)
-	return false
-}
-
 // The methods below implement protocol.Source. ReadRequest reads the connection's requests through them and readBuffer.
 
 // Allow sets the number of bytes that may be read from now on.
@@ -367,14 +283,3 @@
 	c.writeBuffer.Append([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	return c.writeBuffer.Flush()
 }
-
-// closeReasonFor returns the close reason of a connection whose read failed with err. atEOF is the reason for io.EOF.
-func closeReasonFor(err error, atEOF netio.CloseReason) netio.CloseReason {
-	switch {
-	case errors.Is(err, io.EOF):
-		return atEOF
-	case netio.TimedOut(err):
-		return netio.ReasonClientTimeout
-	}
-	return netio.ReasonClientReset
-}
--- a/internal/frontend/clientresponse.go
+++ b/internal/frontend/clientresponse.go
@@ -31,8 +31,7 @@
 	}
 	c.releaseRequest()
 	if c.readBuffer.Err() != nil || !errors.As(err, &invalid) {
-		c.close(closeReasonFor(c.readBuffer.Err(), netio.ReasonClientReset))
-		return false
+		return c.closeBroken(c.readBuffer.Err())
 	}
 	response.Status = invalid.Status
 	if !c.awaitRejection(invalid) {
@@ -93,29 +92,13 @@
 	c.unforwarded = true
 	deadline := time.Now().Add(netio.MessageTimeout) // the last response's deadline may have passed
 	netio.SetWriteDeadline(c.conn, deadline)
-	if !c.writeResponse(response) || !c.awaitAcknowledgement(maxUnacknowledged, deadline) {
-		c.reset(netio.ReasonClientReset)
-		return false
-	}
-	if response.Close {
-		c.close(netio.ReasonClientRequestedClose)
+	written := c.writeResponse(response) && c.awaitAcknowledgement(maxUnacknowledged, deadline)
+	if !written || response.Close {
+		return c.closeAnswered(written)
 	}
 	c.check.answered()
 	c.markIdle()
-	return !response.Close
-}
-
-// closesWithResponse reports whether the response to the request in flight closes the connection because the server wants its slot, or
-// because the client floods it. Where the slot is needed now, the client gets responses to what was read already, and nothing more is
-// read.
-func (c *clientConn) closesWithResponse() bool {
-	if !c.server.wantsClose() && !c.floods() {
-		return false
-	}
-	if c.server.needsSlots() {
-		c.check.stopReadAhead()
-	}
-	return c.check.tryCloseWithResponse()
+	return true
 }
 
 // writeResponse writes a response and reports whether the write was complete.
@@ -188,33 +171,7 @@
 	case written && !response.Close:
 		written = c.awaitAcknowledgement(maxUnacknowledged, writeBy)
 	}
-	switch {
-	case !written:
-		c.server.counters.ResponsesUnwritten.Add(1)
-		c.reset(netio.ReasonResponseUnwritten)
-	case overflowed || !response.Close:
-	case c.request.Close:
-		c.closeAfterAcknowledgement(netio.ReasonClientRequestedClose)
-	default:
-		c.closeAfterAcknowledgement(c.server.closeReason())
-	}
-}
-
-// closeReason returns the reason of a close that the server wants.
-func (s *Server) closeReason() netio.CloseReason {
-	if s.draining.Load() {
-		return netio.ReasonNodeDraining
-	}
-	return netio.ReasonNodeNearLimit
-}
-
-// closeAfterAcknowledgement closes the connection once the client's machine has acknowledged all written bytes. After an
-// earlier close, further input of the client would reset the connection, and the rest of the response would be lost. The
-// wait ends after netio.MessageTimeout, so that a client that reads nothing does not hold its slot.
-func (c *clientConn) closeAfterAcknowledgement(reason netio.CloseReason) {
-	if c.awaitAcknowledgement(0, time.Now().Add(netio.MessageTimeout)) {
-		c.close(reason)
-		return
+	if !written || response.Close && !overflowed {
+		c.closeAfterResponse(written)
 	}
-	c.reset(reason)
 }
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -50,9 +50,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for client := range s.clients {
-		if !client.expectsFirstRequest() && !client.closeWouldLoseData() && client.check.tryClose(keepPartial) {
-			client.close(netio.ReasonNodeDraining)
-		}
+		client.tryEnd(drainIdle)
 	}
 }
 
@@ -62,13 +60,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for client := range s.clients {
-		switch {
-		case client.writing.Load():
-			if client.halted() {
-				client.abortWrite()
-			}
-		case client.check.tryClose(dropPartial):
-			client.close(netio.ReasonNodeDraining)
+		if !client.writing.Load() {
+			client.tryEnd(drainOver)
+		} else if client.halted() {
+			client.abortWrite()
 		}
 	}
 }
@@ -84,8 +79,3 @@
 	}
 	return s.startedAt.Add(time.Duration(deadline)).Sub(from)
 }
-
-// expectsFirstRequest reports whether a connection is new and its first request may be in transit.
-func (c *clientConn) expectsFirstRequest() bool {
-	return !c.hasRequested.Load() && time.Since(c.acceptedAt) < firstRequestGrace
-}
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cherrygap/internal/cpubudget"
-	"cherrygap/internal/netio"
 )
 
 // maxEvictions is the largest number of connections that one call of evict closes. Their slots are released together, because the
@@ -37,9 +36,8 @@
 		if candidate.rank == rankActive && !s.nearLimit() {
 			break
 		}
-		if !client.closeWouldLoseData() && client.check.tryClose(client.evictionPolicy()) {
+		if client.tryEnd(slotNeeded) {
 			s.countEvictionLocked(client)
-			client.close(netio.ReasonEvicted)
 		}
 	}
 	if s.evicting == 0 {
@@ -51,10 +49,8 @@
 func (s *Server) evictIdle(client *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	evictable := s.evicting == 0 && client.evictionRank() == rankRequested && !client.closeWouldLoseData()
-	if evictable && client.check.tryClose(keepPartial) {
+	if s.evicting == 0 && client.evictionRank() == rankRequested && client.tryEnd(slotNeeded) {
 		s.countEvictionLocked(client)
-		client.close(netio.ReasonEvicted)
 	}
 }
 
@@ -130,14 +126,5 @@
 	return rankNew
 }
 
-// evictionPolicy returns the partialPolicy for an eviction. A partly read request keeps its connection open, unless it is
-// the connection's first.
-func (c *clientConn) evictionPolicy() partialPolicy {
-	if c.hasRequested.Load() {
-		return keepPartial
-	}
-	return dropPartial
-}
-
 // evictable reports whether the connection may be closed to free its slot.
-func (c *clientConn) evictable() bool { return c.check.mayClose(c.evictionPolicy()) }
+func (c *clientConn) evictable() bool { return c.check.mayClose(slotNeeded.partialPolicy(c)) }
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -27,10 +27,6 @@
 )
 
 const (
-	// minReadStall is the time without a byte after which a client's request has halted.
-	minReadStall = firstRequestGrace
-	// minWriteStall is the time without progress after which a client has stopped to read its response.
-	minWriteStall = 300 * time.Millisecond
 	// minReliefInterval is the minimum time between two passes over the connections in search of memory.
 	minReliefInterval = 2 * time.Millisecond
 )
@@ -94,12 +90,6 @@
 	return true
 }
 
-// reset closes the connection for a reason. The kernel drops the bytes that the client has not acknowledged.
-func (c *clientConn) reset(reason netio.CloseReason) {
-	_ = c.conn.SetLinger(0) // fails only for a closed connection
-	c.close(reason)
-}
-
 // heldMemory returns the bytes that the connection's request and response hold of the budget.
 func (c *clientConn) heldMemory() int64 {
 	held := c.upload.Held() + c.inFlight.Held()
@@ -109,35 +99,6 @@
 	return held
 }
 
-// halted reports whether the connection holds a message and its client has stopped: a request whose next byte does not come, or a
-// response that is not read.
-func (c *clientConn) halted() bool {
-	if c.writing.Load() {
-		return time.Since(c.writer.LastTransfer()) >= minWriteStall
-	}
-	return c.check.inPhase(phasePartial) && time.Since(c.reader.LastTransfer()) >= minReadStall
-}
-
-// abort gives up the message of a halted connection, and reports whether it did. A response is then cut off, which its client can
-// tell. A request whose rest has arrived meanwhile is kept.
-func (c *clientConn) abort() bool {
-	if c.writing.Load() {
-		c.abortWrite()
-		return true
-	}
-	if netio.HasPendingInput(c.conn) || !c.check.tryClose(dropPartial) {
-		return false
-	}
-	c.close(netio.ReasonOverMemory)
-	return true
-}
-
-// abortWrite gives up the response that is written or not acknowledged.
-func (c *clientConn) abortWrite() {
-	c.aborted.Store(true)
-	netio.SetWriteDeadline(c.conn, netio.PastDeadline)
-}
-
 // relieveMemory gives up messages of halted connections, the largest first, until these hold the given number of bytes. The
 // connections release their memory on their own goroutines.
 func (s *Server) relieveMemory(bytes int64) {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"cherrygap/internal/cpubudget"
 	"cherrygap/internal/membudget"
 	"cherrygap/internal/netio"
 	"cherrygap/internal/routing"
@@ -161,19 +160,6 @@
 // acceptCost returns the processor time of an accept that began at the given time.
 func acceptCost(calledAt time.Time) time.Duration { return min(time.Since(calledAt), maxAcceptCost) }
 
-// dropEnded closes an accepted connection whose client has closed it already, and reports whether it did. Nobody is left to read a
-// response, so the connection needs no slot. acceptCalledAt is the time at which its accept began.
-func (s *Server) dropEnded(conn *net.TCPConn, acceptCalledAt time.Time) bool {
-	if !netio.HasHungUp(conn) {
-		return false
-	}
-	s.counters.Connections.Add(1)
-	netio.CloseConn(conn)
-	netio.LogClose(s.log, netio.SideClient, conn.RemoteAddr().String(), netio.ReasonClientClosed, acceptCalledAt, 0)
-	s.overhead.chargeWhole(cpubudget.Accept, acceptCost(acceptCalledAt))
-	return true
-}
-
 // add starts to serve an accepted connection. At the limit it first evicts an idle connection and waits for a slot.
 // Meanwhile further connections wait in the kernel's queue. acceptCost is the time that the accept took.
 func (s *Server) add(conn *net.TCPConn, acceptCost time.Duration) {
