Count a drain from the earliest time at which its signal can have been sent

Cause: Server.Drain counted its limit from the moment at which the process handled the signal. Requests read after the stop, before or after the handler ran, kept their answers longer than SIGKILL waits.

Change: internal/schedpause (no I/O) records spans in which the engine's timer was late, and tells since when a signal may have been pending. A drain counts from there, and so does a request read within 0.1 s after a pause, whose signal may not be handled yet.

--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -13,10 +13,11 @@
 // Drain shuts the server down gracefully. From its call on, each response closes its connection unless pipelined bytes were
 // read. The listener stays open for acceptFor, and then until the connections in its queue are accepted. After that Drain
 // closes idle connections, and no more pipelined bytes are read. It returns when all connections are closed. Requests that begin
-// during the drain have their responses by Config.DrainLimit, and those that are not complete by then are closed.
+// during the drain have their responses by Config.DrainLimit, and those that are not complete by then are closed. The limit counts from the
+// earliest time at which the signal for the drain may have been sent.
 func (s *Server) Drain(acceptFor time.Duration) {
 	if s.drainLimit > 0 {
-		s.drainDeadline.Store(int64(time.Since(s.startedAt) + s.drainLimit))
+		s.drainDeadline.Store(int64(s.earliestSignal(time.Now()).Add(s.drainLimit).Sub(s.startedAt)))
 	}
 	s.draining.Store(true)
 	netio.SetAcceptDeadline(s.listener, time.Now().Add(acceptFor))
@@ -71,11 +72,15 @@
 // noDrainLimit is the result of drainTimeLeft while there is no limit.
 const noDrainLimit time.Duration = math.MaxInt64
 
-// drainTimeLeft returns the time from the given moment to the end of the drain.
+// drainTimeLeft returns the time from the given moment to the end of the drain. Right after a pause of the process, the signal for a drain
+// may be pending, so the result is then the time to the end of that drain.
 func (s *Server) drainTimeLeft(from time.Time) time.Duration {
-	deadline := s.drainDeadline.Load()
-	if deadline == 0 {
-		return noDrainLimit
+	if deadline := s.drainDeadline.Load(); deadline != 0 {
+		return s.startedAt.Add(time.Duration(deadline)).Sub(from)
 	}
-	return s.startedAt.Add(time.Duration(deadline)).Sub(from)
+	now := time.Now()
+	if earliest := s.earliestSignal(now); s.drainLimit > 0 && earliest.Before(now) {
+		return earliest.Add(s.drainLimit).Sub(from)
+	}
+	return noDrainLimit
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -38,6 +38,9 @@
 	counters   *Counters
 	listener   *net.TCPListener
 	drainLimit time.Duration // longest time of Drain; 0 for no limit
+
+	earliestSignal func(now time.Time) time.Time // Config.EarliestSignal
+
 	requestIDs *requestIDs
 	overhead   *overheadPacer
 
@@ -62,7 +65,7 @@
 }
 
 // Config is the configuration of a Server. All fields are required except Memory,
-// Authorizer, DrainLimit and Processors.
+// Authorizer, DrainLimit, EarliestSignal and Processors.
 type Config struct {
 	Addr       string // address and port to listen on
 	Router     *routing.Router
@@ -71,7 +74,10 @@
 	Memory     *membudget.Budget // counts large requests, and those in flight; nil for no limit
 	Authorizer Authorizer        // checks each request; nil admits all requests
 	DrainLimit time.Duration     // time from Drain's call until each request has its response; 0 for no limit
-	Processors float64           // number of processors that the node may use; 0 for those of the Go scheduler
+	// EarliestSignal returns the earliest time at which a signal that is not handled yet may have been sent; nil for the time itself.
+	EarliestSignal func(now time.Time) time.Time
+
+	Processors float64 // number of processors that the node may use; 0 for those of the Go scheduler
 	Log        *zerolog.Logger
 	Counters   *Counters
 }
@@ -107,6 +113,11 @@
 		slots:      make(chan struct{}, cfg.Limits.HTTPConnections()),
 		acceptDone: make(chan struct{}),
 		clients:    map[*clientConn]struct{}{},
+
+		earliestSignal: cfg.EarliestSignal,
+	}
+	if s.earliestSignal == nil {
+		s.earliestSignal = func(now time.Time) time.Time { return now }
 	}
 	s.memory.OnShortage(s.relieveMemory)
 	s.conns.Add(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"cherrygap/internal/peersocket"
 	"cherrygap/internal/quotastore"
 	"cherrygap/internal/routing"
+	"cherrygap/internal/schedpause"
 	"cherrygap/internal/upstream"
 )
 
@@ -40,6 +41,7 @@
 	log      zerolog.Logger
 
 	timer     *netio.Timer
+	pauses    schedpause.Tracker // spans in which the process did not run
 	router    *routing.Router
 	pool      *upstream.Pool
 	discovery *discovery.Client
@@ -103,7 +105,7 @@
 // startBackground starts the goroutines of the timer, the discovery client, the health checks and the peer socket. They end
 // during Close.
 func (n *Node) startBackground() {
-	n.runInBackground(func() { n.timer.Run(n.router.TimerFired) })
+	n.runInBackground(func() { n.timer.Run(n.timerFired) })
 	n.runInBackground(n.discovery.Run)
 	if n.healthChecks != nil {
 		n.runInBackground(n.healthChecks.Run)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"cherrygap/internal/discovery"
 	"cherrygap/internal/frontend"
 	"cherrygap/internal/healthcheck"
@@ -33,6 +35,19 @@
 	return nil
 }
 
+// setTimer sets the decision engine's timer.
+func (n *Node) setTimer(after time.Duration) {
+	now := time.Now()
+	n.pauses.Expect(now, now.Add(after))
+	n.timer.Set(after)
+}
+
+// timerFired runs the decision engine's tasks that are due.
+func (n *Node) timerFired() {
+	n.pauses.Ran(time.Now())
+	n.router.TimerFired()
+}
+
 // openPeerSocket opens the UDP socket for messages between nodes, if the platform's configuration has an address for it.
 func (n *Node) openPeerSocket() error {
 	if !n.config.PeerListen.IsValid() {
@@ -64,7 +79,7 @@
 		Settings:          n.config.settings,
 		Shadow:            n.config.shadowSettings,
 		MaxCustomers:      maxCustomers(n.limits),
-		SetTimer:          n.timer.Set,
+		SetTimer:          n.setTimer,
 		SendToPeer:        n.sendToPeer,
 		PollEndpoints:     n.requestPoll,
 		OnRepeatViolation: n.countRepeatViolation,
@@ -206,7 +221,7 @@
 	return retryOpen(&n.log, func() (err error) {
 		n.frontEnd, err = frontend.Listen(frontend.Config{
 			Addr: n.config.Listen, Router: n.router, Pool: n.pool, Limits: n.limits, Memory: n.memory, Authorizer: n.authorizer,
-			DrainLimit: n.config.drainLimit(), Processors: n.config.Limits.Cores,
+			DrainLimit: n.config.drainLimit(), EarliestSignal: n.pauses.EarliestSignal, Processors: n.config.Limits.Cores,
 			Log: &n.log, Counters: &n.counters.FrontEnd,
 		})
 		return err
