cpubudget: limit the debt to half a second of a share

Need, found by reading: floods of requests that the engine rejects at once are charged and wait 50 ms at most, so the debt of the rejections could grow for as long as the flood lasts, and malformed requests would get no answer within the 3 s that bad clients are owed.

Change: a bucket goes below 0 at most as far as it recovers within 0.5 s.

--- a/internal/cpubudget/bucket.go
+++ b/internal/cpubudget/bucket.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// bucket is a token bucket of processor time. It holds burst at most, and goes below 0 by work whose cost was not known in advance.
+// bucket is a token bucket of processor time. It holds burst at most, and goes below 0, by work whose cost was not known in
+// advance or that does not wait, at most as far as it recovers within maxRecovery.
 type bucket struct {
 	rate      float64 // processor time that is added in one unit of time
 	balance   time.Duration
@@ -20,7 +21,8 @@
 // take takes processor time, or gives it back if spent is negative.
 func (b *bucket) take(now time.Time, spent time.Duration) {
 	b.refill(now)
-	b.balance -= spent
+	maxDebt := time.Duration(b.rate * float64(maxRecovery))
+	b.balance = max(b.balance-spent, -maxDebt)
 }
 
 // delay returns the time until the balance reaches floor, rounded up, and 0 if it has.
--- a/internal/cpubudget/budget.go
+++ b/internal/cpubudget/budget.go
@@ -36,6 +36,10 @@
 // burst is the largest balance of a bucket: processor time that may be used at once after a quiet time.
 const burst = 20 * time.Millisecond
 
+// maxRecovery is the longest time until a bucket whose balance is below 0 reaches 0. It bounds the time for which all work waits for work
+// that did not wait.
+const maxRecovery = 500 * time.Millisecond
+
 // discardFloor is the balance that discarding leaves to rejections.
 const discardFloor = burst / 2
 
