crowd tests: allow no failed connect again, as before

Cause: counted connects that fail as unconnected, up to 2%, also in the older crowd tests, where each was a lost request. Change: the limit is an argument; the older tests allow none. Only TestRefusedCrowdsLeaveOthersServed allows 2%.

--- a/cmd/cherrygap/crowd_test.go
+++ b/cmd/cherrygap/crowd_test.go
@@ -180,9 +180,9 @@
 func (o usualOutcome) servedShare() float64 { return float64(o.served) / float64(max(1, o.sent)) }
 
 // check fails the test unless no usual client waited longer than the given time and the given share was served.
-func (o usualOutcome) check(t *testing.T, longest time.Duration, minServed float64) {
+func (o usualOutcome) check(t *testing.T, longest time.Duration, minServed, maxUnconnected float64) {
 	t.Helper()
-	if o.lost > 0 || float64(o.unconnected) > maxUnconnectedShare*float64(o.sent) || len(o.other) > 0 || o.servedShare() < minServed || o.slowest > longest {
+	if o.lost > 0 || float64(o.unconnected) > maxUnconnected*float64(o.sent) || len(o.other) > 0 || o.servedShare() < minServed || o.slowest > longest {
 		t.Errorf("usual clients: %s, want none lost, no other status, at least %.2f served and %v at most", o, minServed, longest)
 	}
 }
@@ -232,7 +232,7 @@
 		t.Errorf("peak memory is %.1f MiB (resident %.1f, socket buffers %.1f), want at most %d", mebibytes(peak.Total),
 			mebibytes(peak.Resident), mebibytes(peak.SocketMemory), leastMemoryMB)
 	}
-	t.Run("usual-clients", func(t *testing.T) { outcome.check(t, usualTimeout+usualSlack, minServedShare) })
+	t.Run("usual-clients", func(t *testing.T) { outcome.check(t, usualTimeout+usualSlack, minServedShare, 0) })
 	t.Logf("peak %.1f MiB, resident %.1f, socket buffers %.1f; crowd opened %d connections; usual clients %s", mebibytes(peak.Total),
 		mebibytes(peak.Resident), mebibytes(peak.SocketMemory), hostile.Opened(), outcome)
 }
--- a/cmd/cherrygap/refusedcrowd_test.go
+++ b/cmd/cherrygap/refusedcrowd_test.go
@@ -97,7 +97,7 @@
 	for _, group := range []*usualClients{keeping, connecting} {
 		outcome := group.stop()
 		t.Logf("%s clients beside %d connections, opened %s times: %s", group.behaviour.prefix, c.connections, opened, outcome)
-		outcome.check(t, refusedTimeout+refusedSlack, refusedServedShare)
+		outcome.check(t, refusedTimeout+refusedSlack, refusedServedShare, maxUnconnectedShare)
 	}
 }
 
