tests: find a free address without listening, on a host of its own

Cause: FreeAddress opened a listener and closed it. A process that a parallel test forked meanwhile holds a copy of the listener until it executes its program. The readiness check and the first connections were then accepted at the address before the node listened, and reset when the copy closed. Two parallel tests could also get the same port.

Change: FreeAddress binds a socket and does not listen, and each call takes another host of the process's loopback network.

--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -28,7 +29,7 @@
 	}
 }
 
-// Range of the addresses of LoopbackAddr: 127.200.0.1 to 127.231.255.1. Nothing else in this repository uses these addresses.
+// Range of the addresses of this file: 127.200.0.1 to 127.231.255.251. Nothing else in this repository uses these addresses.
 const (
 	firstProcessNetwork = 200
 	processNetworks     = 32
@@ -39,10 +40,29 @@
 // time have different addresses, unless their process ids differ by a multiple of 8192. With a common address, one process
 // could open a port that another has just closed. The first process would then receive connections of the other's clients, such
 // as a discovery client whose server is closed.
-func LoopbackAddr() string {
+func LoopbackAddr() string { return netip.AddrPortFrom(loopbackHost(listenersHost), 0).String() }
+
+// Last bytes of a test process's addresses: one for LoopbackAddr, the others for UnusedLoopbackHost.
+const (
+	listenersHost   = 1
+	firstUnusedHost = 2
+	unusedHosts     = 250
+)
+
+// unusedHostCalls is the number of calls of UnusedLoopbackHost.
+var unusedHostCalls atomic.Uint32
+
+// UnusedLoopbackHost returns another loopback address at each call, so that a port that is free there stays free for the caller. Addresses
+// repeat after unusedHosts calls.
+func UnusedLoopbackHost() netip.Addr {
+	return loopbackHost(firstUnusedHost + int(unusedHostCalls.Add(1)%unusedHosts))
+}
+
+// loopbackHost returns the address of this process with the given last byte.
+func loopbackHost(lastByte int) netip.Addr {
 	id := os.Getpid()
 	network := firstProcessNetwork + id/processesPerNetwork%processNetworks
-	return fmt.Sprintf("127.%d.%d.1:0", network, id%processesPerNetwork)
+	return netip.AddrFrom4([4]byte{127, byte(network), byte(id % processesPerNetwork), byte(lastByte)})
 }
 
 // Listen opens a listener on an address of this process. The listener is closed when the test ends.
--- a/internal/node/nodetest/nodetest.go
+++ b/internal/node/nodetest/nodetest.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"strings"
@@ -60,12 +61,29 @@
 	return conn
 }
 
-// FreeAddress returns a loopback address whose TCP port was free a moment ago. Another process may take the port.
+// FreeAddress returns a loopback address whose TCP port is free, with another host at each call. The port is found without listening: a
+// process that another test forks meanwhile holds the socket until it executes its program, and connections would be accepted at the
+// address until then.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
-	ln := nettest.Listen(t)
-	CloseNow(t, ln)
-	return ln.Addr().String()
+	host := nettest.UnusedLoopbackHost()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatalf("socket: %v", err)
+	}
+	defer func() { _ = syscall.Close(fd) }() // fails only for an unknown descriptor
+	// The listener that takes the port has this option too, so it may bind while the socket is still open in a forked process.
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		t.Fatalf("set SO_REUSEADDR: %v", err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: host.As4()}); err != nil {
+		t.Fatalf("bind to a free port of %v: %v", host, err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatalf("getsockname: %v", err)
+	}
+	return netip.AddrPortFrom(host, uint16(bound.(*syscall.SockaddrInet4).Port)).String()
 }
 
 // CloseNow closes a file, listener or connection, and fails the test on an error.
