crowd tests: run each crowd in a process of its own

Cause: the crowd's 600 connections, the usual clients and the app servers shared one process, so the usual clients also waited for the crowd behind the same Go scheduler. The node had answered them.

Change: runCrowd starts the crowd's own process, as TestRefusedCrowdsLeaveOthersServed does. No bound changes.

--- a/cmd/cherrygap/crowd_test.go
+++ b/cmd/cherrygap/crowd_test.go
@@ -216,11 +216,9 @@
 	sampler := memusage.StartSampler(p.cmd.Process.Pid)
 	usual := startUsualClients(p.address, 6)
 	time.Sleep(time.Second) // The node learns the servers' latency before the crowd comes.
-	hostile := crowd.Start(crowd.Target{
-		Addr: p.address, Class: "seats", Plan: "team", Customer: 9, TimeoutMs: 2000, IDPrefix: kind.Name,
-	}, kind, connections)
+	hostile := startCrowdProcess(t, p.address, kind, connections)
 	time.Sleep(duration)
-	hostile.Stop()
+	opened := hostile.stop(t)
 	outcome, peak := usual.stop(), sampler.Stop()
 	select {
 	case <-p.ended:
@@ -233,8 +231,8 @@
 			mebibytes(peak.Resident), mebibytes(peak.SocketMemory), leastMemoryMB)
 	}
 	t.Run("usual-clients", func(t *testing.T) { outcome.check(t, usualTimeout+usualSlack, minServedShare, 0) })
-	t.Logf("peak %.1f MiB, resident %.1f, socket buffers %.1f; crowd opened %d connections; usual clients %s", mebibytes(peak.Total),
-		mebibytes(peak.Resident), mebibytes(peak.SocketMemory), hostile.Opened(), outcome)
+	t.Logf("peak %.1f MiB, resident %.1f, socket buffers %.1f; crowd opened %s connections; usual clients %s", mebibytes(peak.Total),
+		mebibytes(peak.Resident), mebibytes(peak.SocketMemory), opened, outcome)
 }
 
 func mebibytes(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- a/cmd/cherrygap/crowdprocess_test.go
+++ b/cmd/cherrygap/crowdprocess_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 
@@ -19,13 +20,16 @@
 // crowdProcessors is the number of processors of a crowd's process, so that the node and the usual clients have others.
 const crowdProcessors = 3
 
-// crowdSpec describes a crowd of refused clients.
+// crowdSpec describes a crowd.
 type crowdSpec struct {
 	Target      crowd.Target
-	Kind        string // name of one of crowd.Refused
+	Kind        string // name of one of the kinds of crowdKinds
 	Connections int
 }
 
+// crowdKinds returns all kinds of crowds. Their names differ.
+func crowdKinds() []crowd.Kind { return slices.Concat(crowd.Kinds(), crowd.Floods(), crowd.Refused()) }
+
 // crowdProcess is a process that runs a crowd. Usual clients in the test's own process are not slowed by it.
 type crowdProcess struct {
 	cmd    *exec.Cmd
@@ -33,10 +37,13 @@
 	stdout strings.Builder
 }
 
-// startCrowdProcess starts a crowd in a process of its own.
-func startCrowdProcess(t *testing.T, spec crowdSpec) *crowdProcess {
+// startCrowdProcess starts a crowd at a node in a process of its own.
+func startCrowdProcess(t *testing.T, address string, kind crowd.Kind, connections int) *crowdProcess {
 	t.Helper()
-	encoded, err := json.Marshal(spec)
+	encoded, err := json.Marshal(crowdSpec{
+		Target: crowd.Target{Addr: address, Class: "seats", Plan: "team", Customer: 9, TimeoutMs: 2000, IDPrefix: kind.Name},
+		Kind:   kind.Name, Connections: connections,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +76,7 @@
 	if err := json.Unmarshal([]byte(encoded), &spec); err != nil {
 		return fmt.Errorf("read %s: %w", envRunAsCrowd, err)
 	}
-	for _, kind := range crowd.Refused() {
+	for _, kind := range crowdKinds() {
 		if kind.Name == spec.Kind {
 			hostile := crowd.Start(spec.Target, kind, spec.Connections)
 			_, err := io.Copy(io.Discard, os.Stdin)
--- a/cmd/cherrygap/refusedcrowd_test.go
+++ b/cmd/cherrygap/refusedcrowd_test.go
@@ -77,10 +77,7 @@
 	startedAt := time.Now()
 	time.Sleep(time.Second)
 	rateBefore := float64(keeping.served()-servedBefore) / time.Since(startedAt).Seconds()
-	hostile := startCrowdProcess(t, crowdSpec{
-		Target: crowd.Target{Addr: p.address, Class: "seats", Plan: "team", Customer: 9, TimeoutMs: 2000, IDPrefix: c.kind.Name},
-		Kind:   c.kind.Name, Connections: c.connections,
-	})
+	hostile := startCrowdProcess(t, p.address, c.kind, c.connections)
 	lag := startLagMeter()
 	servedBefore, startedAt = keeping.served(), time.Now()
 	before := processorTime(t, p.cmd.Process.Pid)
