grpcfrontend: draw accepting and refusing from the processor budget of HTTP's clients

Cause: the gRPC front end accepts by a listener of its own, limited in connections and not in their pace; gRPC reads, refuses and closes each at once.

Change: LimitListener waits for the budget before each accept and drops connections that their clients have closed. Its connections (LimitedConn) charge their system calls and their close until a call of theirs was forwarded, which the call's peer information links to the connection. Calls refused as invalid take turns with HTTP's rejections. TestLimitedListenerRetriesAcceptErrors uses a TCP connection now, since the listener looks into it.

Usual gRPC clients were not measured.

--- a/cmd/cherrygap/crowd_test.go
+++ b/cmd/cherrygap/crowd_test.go
@@ -187,10 +187,9 @@
 	}
 }
 
-// startNodeWith starts a node and app servers that echo the body of each request.
-func startNodeWith(t *testing.T, limits nodeLimits) *builtProcess {
+// startEchoServers starts app servers that echo the body of each request.
+func startEchoServers(t *testing.T) (servers []net.Listener) {
 	t.Helper()
-	var servers []net.Listener
 	for range 4 {
 		servers = append(servers, nodetest.ServeHTTP(t, func(w http.ResponseWriter, q *http.Request) {
 			body, err := io.ReadAll(q.Body)
@@ -201,9 +200,15 @@
 			_, _ = w.Write(body) // fails if the node has closed the connection
 		}))
 	}
+	return servers
+}
+
+// startNodeWith starts a node, and app servers that echo the body of each request.
+func startNodeWith(t *testing.T, limits nodeLimits) *builtProcess {
+	t.Helper()
 	address := nodetest.FreeAddress(t)
 	startedAt := time.Now()
-	p := startBuiltProgram(t, nodeProcessConfigWith(limits, address, nodetest.FreeAddress(t), servers), address)
+	p := startBuiltProgram(t, nodeProcessConfigWith(limits, address, nodetest.FreeAddress(t), startEchoServers(t)), address)
 	if _, ok := p.ready(startedAt); !ok {
 		t.Fatalf("the node with limits %+v did not become ready; log: %s", limits, p.log.String())
 	}
--- a/cmd/cherrygap/ready_test.go
+++ b/cmd/cherrygap/ready_test.go
@@ -105,11 +105,17 @@
 
 // startBuiltProgram starts a node with a configuration that listens at listenAddress. The process is killed at the test's end.
 func startBuiltProgram(t *testing.T, config, listenAddress string) *builtProcess {
+	t.Helper()
+	return startProgram(t, exec.Command(builtProgram(t)), config, listenAddress)
+}
+
+// startProgram starts a node by a command, as startBuiltProgram does.
+func startProgram(t *testing.T, cmd *exec.Cmd, config, listenAddress string) *builtProcess {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	nodetest.WriteFile(t, file, config)
-	p := &builtProcess{cmd: exec.Command(builtProgram(t)), address: listenAddress, ended: make(chan struct{})}
-	p.cmd.Env, p.cmd.Stderr = append(os.Environ(), node.EnvConfig+"="+file), &p.log
+	p := &builtProcess{cmd: cmd, address: listenAddress, ended: make(chan struct{})}
+	p.cmd.Env, p.cmd.Stderr = append(p.cmd.Environ(), node.EnvConfig+"="+file), &p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/cherrygap/refusedcrowd_test.go
+++ b/cmd/cherrygap/refusedcrowd_test.go
@@ -65,9 +65,15 @@
 	}
 }
 
-// runRefusedCrowd runs a crowd beside usual clients of both sorts, and checks what these got.
+// runRefusedCrowd starts a node and runs a crowd against it beside usual clients.
 func runRefusedCrowd(t *testing.T, c refusedCase) {
 	p := startNodeWith(t, nodeLimits{memoryMB: defaultMemoryMB, sockets: c.sockets})
+	checkBesideCrowd(t, p, func() *crowdProcess { return startCrowdProcess(t, p.address, c.kind, c.connections) })
+}
+
+// checkBesideCrowd runs usual clients of both sorts at a node, starts a crowd, and checks what the usual clients got beside it.
+func checkBesideCrowd(t *testing.T, p *builtProcess, startCrowd func() *crowdProcess) {
+	t.Helper()
 	keeping := startClients(p.address, usualBehaviour{prefix: "keeping", clients: keepingClients, timeout: refusedTimeout, slack: refusedSlack})
 	connecting := startClients(p.address, usualBehaviour{
 		prefix: "connecting", clients: connectingClients, timeout: refusedTimeout, slack: refusedSlack, connects: true,
@@ -77,7 +83,7 @@
 	startedAt := time.Now()
 	time.Sleep(time.Second)
 	rateBefore := float64(keeping.served()-servedBefore) / time.Since(startedAt).Seconds()
-	hostile := startCrowdProcess(t, p.address, c.kind, c.connections)
+	hostile := startCrowd()
 	lag := startLagMeter()
 	servedBefore, startedAt = keeping.served(), time.Now()
 	before := processorTime(t, p.cmd.Process.Pid)
@@ -93,7 +99,7 @@
 	}
 	for _, group := range []*usualClients{keeping, connecting} {
 		outcome := group.stop()
-		t.Logf("%s clients beside %d connections, opened %s times: %s", group.behaviour.prefix, c.connections, opened, outcome)
+		t.Logf("%s clients beside a crowd that opened %s connections: %s", group.behaviour.prefix, opened, outcome)
 		outcome.check(t, refusedTimeout+refusedSlack, refusedServedShare, maxUnconnectedShare)
 	}
 }
--- a/internal/frontend/clientresponse.go
+++ b/internal/frontend/clientresponse.go
@@ -53,7 +53,7 @@
 	c.check.linger()
 	c.readBuffer.Discard()
 	c.readBuffer.Free()
-	return c.server.overhead.takeTurn(c)
+	return c.beginRejection()
 }
 
 // maxLoggedCause is the largest number of bytes of a cause in the log, whose lines are buffered.
--- a/internal/frontend/connlimit_test.go
+++ b/internal/frontend/connlimit_test.go
@@ -39,8 +39,16 @@
 // A transient error of accept(2) must not stop the gRPC front end. Most of these errors would end gRPC's server, because
 // they do not report themselves as temporary. Accept therefore retries after each.
 func TestLimitedListenerRetriesAcceptErrors(t *testing.T) {
-	client, accepted := net.Pipe()
+	listening := nettest.Listen(t)
+	client, err := net.Dial("tcp", listening.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() { nettest.Close(client) })
+	accepted, err := listening.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
 	failing := &failingListener{conn: accepted}
 	for _, errno := range []syscall.Errno{
 		syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENETUNREACH,
@@ -48,8 +56,9 @@
 	} {
 		failing.errors = append(failing.errors, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)})
 	}
-	log := zerolog.Nop()
-	listener := (&Server{limits: netio.Limits{MaxDescriptors: 1024}, log: &log}).LimitListener(failing)
+	log, counters := zerolog.Nop(), &Counters{}
+	server := &Server{limits: netio.Limits{MaxDescriptors: 1024}, log: &log, counters: counters, overhead: newOverheadPacer(1, counters)}
+	listener := server.LimitListener(failing)
 	startedAt := time.Now()
 	conn, err := listener.Accept()
 	if err != nil {
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -94,28 +94,37 @@
 	}
 }
 
-// takeTurn waits until a connection may be rejected, behind those that wait already. It takes the cost of the connection so far and the
-// expected cost of its close. It returns false if the connection ends first.
-func (p *overheadPacer) takeTurn(c *clientConn) bool {
+// takeTurn waits until a rejection may begin, behind those that wait already, and then calls charge, which takes its cost. It returns
+// false if ended is closed first.
+func (p *overheadPacer) takeTurn(ended <-chan struct{}, charge func()) bool {
 	select {
 	case p.turn <- struct{}{}:
 	default:
 		p.counters.RejectionsDelayed.Add(1)
 		select {
 		case p.turn <- struct{}{}:
-		case <-c.ended:
+		case <-ended:
 			return false
 		}
 	}
 	defer func() { <-p.turn }()
-	if !p.await(cpubudget.Reject, c.ended, time.Time{}) {
+	if !p.await(cpubudget.Reject, ended, time.Time{}) {
 		return false
 	}
-	c.chargeOverhead(cpubudget.Reject)
-	c.reservedClose.Store(int64(p.budget.ReserveClose(time.Now())))
+	charge()
 	return true
 }
 
+// beginRejection waits until the connection may be rejected. It takes the cost of the connection so far and the expected cost of its
+// close. It returns false if the connection ends first.
+func (c *clientConn) beginRejection() bool {
+	overhead := c.server.overhead
+	return overhead.takeTurn(c.ended, func() {
+		c.chargeOverhead(cpubudget.Reject)
+		c.reservedClose.Store(int64(overhead.budget.ReserveClose(time.Now())))
+	})
+}
+
 // charge takes the cost of work of a kind.
 func (p *overheadPacer) charge(kind cpubudget.Kind, cost cpubudget.Cost) {
 	now := time.Now()
--- a/internal/grpcfrontend/server.go
+++ b/internal/grpcfrontend/server.go
@@ -70,7 +70,7 @@
 		httpFrontEnd: httpFrontEnd,
 		methods:      methods,
 		listener:     httpFrontEnd.LimitListener(listener),
-		server: grpc.NewServer(grpc.MaxConcurrentStreams(maxCalls), grpc.MaxRecvMsgSize(maxMessageBytes),
+		server: grpc.NewServer(grpc.Creds(newConnCredentials()), grpc.MaxConcurrentStreams(maxCalls), grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.ConnectionTimeout(handshakeTimeout),
 			grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTimeout})),
 	}
@@ -88,8 +88,12 @@
 // Pass handles the request of one call and returns its response. The error is a gRPC status.
 func (s *Server) Pass(ctx context.Context, call *Ticket) (*Answer, error) {
 	receivedAt := time.Now()
+	conn, hasConn := connOf(ctx)
 	request, err := s.requestFor(call)
 	if err != nil {
+		if hasConn && !conn.AwaitRejection(ctx.Done()) {
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
 		return nil, err
 	}
 	request.Timeout = defaultCallTimeout
@@ -112,6 +116,9 @@
 	stop := context.AfterFunc(ctx, handler.ClientGone)
 	defer stop()
 	response, ok := handler.Handle(request, receivedAt)
+	if hasConn && handler.Forwarded() {
+		conn.MarkForwarded()
+	}
 	if !ok {
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
