frontend: the time until a response is halted begins with the response

Cause: halted took the time since the connection's last transfer. Until a response's first byte that is the time of an earlier message, so a response whose first write has to wait (a full socket, a failing system call) counted as halted at once and could be given up.

Change: writeResponse records when it begins, and halted counts from there or from the last transfer, whichever is later.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -60,6 +60,7 @@
 	upload   membudget.Account // memory of a large request
 	inFlight membudget.Account // memory of a request in flight, without its message
 	writing  atomic.Bool       // set while a response is written or not acknowledged
+	writeAt  atomic.Int64      // time at which the last response began to be written, in nanoseconds after acceptedAt
 	aborted  atomic.Bool       // set once the server gave up the response that is written
 
 	handled chan struct{} // signals that the request was handled; nil before the first request
--- a/internal/frontend/clientresponse.go
+++ b/internal/frontend/clientresponse.go
@@ -104,6 +104,7 @@
 // writeResponse writes a response and reports whether the write was complete.
 func (c *clientConn) writeResponse(response *protocol.ClientResponse) bool {
 	c.aborted.Store(false)
+	c.writeAt.Store(int64(time.Since(c.acceptedAt)))
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	c.writeBuffer.Allocate(c.server.limits.BufferSize())
--- a/internal/frontend/closing.go
+++ b/internal/frontend/closing.go
@@ -251,10 +251,12 @@
 )
 
 // halted reports whether the connection holds a message and its client has stopped: a request whose next byte does not come, or a
-// response that is not read.
+// response that is not read. The time of a response counts from its begin at the earliest: the last transfer before its first byte is
+// that of an earlier message.
 func (c *clientConn) halted() bool {
 	if c.writing.Load() {
-		return time.Since(c.writer.LastTransfer()) >= minWriteStall
+		beganAt := c.acceptedAt.Add(time.Duration(c.writeAt.Load()))
+		return time.Since(later(beganAt, c.writer.LastTransfer())) >= minWriteStall
 	}
 	return c.check.inPhase(phasePartial) && time.Since(c.reader.LastTransfer()) >= minReadStall
 }
