frontend: measure the parsing of requests, and pace what is mostly framing

Cause: the budget scaled the time of system calls to the process's time, by 8 at most. Parsing such bytes costs more than that: 5 ms for a connection with 393 KB of chunks, and nothing waited before the request was rejected.

Change: requestStream measures the time between the reads of a request, which is charged like the rest of the connection's cost. What is longer than any request with little framing (80 KiB) waits for its rest in turns with the rejections. The kinds endless-chunks and fields-and-close join TestRefusedCrowdsLeaveOthersServed.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -41,6 +41,9 @@
 	queuedSince   time.Time          // start of the wait for a slot; zero without a wait and after the first request
 	pipelinedNext bool               // set if the next request's first byte was read before the response to the last one
 	handedOver    bool               // set while handleInFlight owns the request
+	requestFrom   int                // number of bytes filled into readBuffer before the request that is being read
+	parsingSince  time.Time          // time since which a request is parsed; zero while none is, and during waits
+	parseTime     time.Duration      // time for which requests were parsed
 
 	// The goroutine that owns the request uses these fields.
 	writer         *netio.Socket // destination of writeBuffer
@@ -84,7 +87,7 @@
 	c := &clientConn{server: server, conn: conn, acceptedAt: time.Now(), ended: make(chan struct{})}
 	c.reader, c.writer = netio.NewSocket(conn), netio.NewSocket(conn)
 	c.reader.Hook = &c.check
-	c.readBuffer, c.writeBuffer = netio.NewMessageBuffer(conn, c.reader, &c.arrivals), netio.NewMessageBuffer(conn, c.writer, nil)
+	c.readBuffer, c.writeBuffer = netio.NewMessageBuffer(conn, requestStream{c}, &c.arrivals), netio.NewMessageBuffer(conn, c.writer, nil)
 	c.upload.Open(server.memory, membudget.Upload)
 	c.inFlight.Open(server.memory, membudget.InFlight)
 	c.readBuffer.SetMessageDeadline(c.acceptedAt.Add(netio.MessageTimeout))
@@ -216,6 +219,9 @@
 func (c *clientConn) readRequest() error {
 	parser := netio.BorrowParser(&c.readBuffer)
 	defer netio.ReturnParser(parser)
+	c.requestFrom = c.readBuffer.Filled() - c.readBuffer.Buffered()
+	c.startParsing()
+	defer c.stopParsing()
 	err := protocol.ReadRequest(parser, c, &c.request, c.body)
 	c.readBuffer.EndMessage(parser)
 	return err
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -48,6 +48,8 @@
 
 // Reserve accounts for the memory of the request that is being read. It implements protocol.Memory.
 func (c *clientConn) Reserve(bytes int) error {
+	c.stopParsing()
+	defer c.startParsing()
 	if c.upload.Grow(bytes, time.Now().Add(memoryWait)) {
 		return nil
 	}
--- a/internal/frontend/overhead_test.go
+++ b/internal/frontend/overhead_test.go
@@ -51,6 +51,26 @@
 	}
 }
 
+// Protects against parsing bodies in very small chunks that takes the processor from usual clients: the rest of such a request waits once it
+// is longer than any with little framing. With processor time left it is served.
+func TestBodiesInSmallChunksWaitForProcessorTime(t *testing.T) {
+	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, frontendtest.Echo)
+	const chunks = 25_000 // 6 bytes each, more than the largest request with little framing
+	body := strings.Repeat("b", chunks)
+	chunked := func() string {
+		head, _, _ := strings.Cut(frontendtest.RequestText(3000, ""), "Content-Length")
+		return head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nb\r\n", chunks) + "0\r\n\r\n"
+	}
+	if status, echoed, _ := frontendtest.RoundTrip(t, node.Dial(t), chunked()); status != http.StatusOK || echoed != body {
+		t.Errorf("body in small chunks: status %d, %d bytes echoed; want %d, %d", status, len(echoed), http.StatusOK, len(body))
+	}
+	node.Server.ExhaustOverhead(exhaustedTime)
+	if status, took := respondedAt(t, node, chunked()); status != http.StatusOK || took < exhaustedTime/2 {
+		t.Errorf("body in small chunks without processor time left: status %d after %v, want %d, not before %v", status, took, http.StatusOK,
+			exhaustedTime/2)
+	}
+}
+
 // Protects against a late answer to a client that repeats a request whose first connection was closed: such a client may be in good faith.
 func TestRepeatedRequestIsRejectedAtOnce(t *testing.T) {
 	node := frontendtest.Start(t, settings.RetrySafe, frontendtest.Limits, 1, frontendtest.Echo)
--- a/internal/lab/crowd/refused.go
+++ b/internal/lab/crowd/refused.go
@@ -20,11 +20,13 @@
 		{Name: "long-bodies", act: actLongBody, reconnectsAtOnce: true},
 		{Name: "noise", act: actNoise, reconnectsAtOnce: true},
 		{Name: "endless-heads", act: actEndlessHead, reconnectsAtOnce: true},
+		{Name: "endless-chunks", act: actEndlessChunks, reconnectsAtOnce: true},
 		{Name: "malformed-lengths", act: refusedHeads(malformedLengths), reconnectsAtOnce: true},
 		{Name: "malformed-fields", act: refusedHeads(malformedFields), reconnectsAtOnce: true},
 		{Name: "unknown-names", act: refusedHeads(unknownNames), reconnectsAtOnce: true},
 		{Name: "open-ids", act: actOpenID, reconnectsAtOnce: true},
 		{Name: "half-and-close", act: actHalfAndClose, reconnectsAtOnce: true},
+		{Name: "fields-and-close", act: actFieldsAndClose, reconnectsAtOnce: true},
 		{Name: "many-and-close", act: actManyAndClose, reconnectsAtOnce: true},
 		{Name: "connect-and-close", act: actConnectAndClose, reconnectsAtOnce: true},
 		{Name: "silent-at-once", act: actSilent, reconnectsAtOnce: true},
@@ -59,6 +61,16 @@
 	}
 }
 
+// actEndlessChunks sends a body in chunks of one byte without an end.
+func actEndlessChunks(ctx context.Context, c *client) {
+	go c.discard() // ends with the connection
+	chunks := strings.Repeat("1\r\nb\r\n", headBytes)
+	ok := c.send(c.head("Transfer-Encoding: chunked\r\n"))
+	for ok && ctx.Err() == nil {
+		ok = c.send(chunks)
+	}
+}
+
 // malformedLengths returns heads of requests whose body has no usable length.
 func malformedLengths(c *client) []string {
 	return []string{
@@ -120,6 +132,11 @@
 	c.send(head[:len(head)/2])
 }
 
+// actFieldsAndClose sends a head of very many short fields and closes before the body.
+func actFieldsAndClose(_ context.Context, c *client) {
+	c.send(c.head(emptyFields(headBytes, func(int) string { return "a:\r\n" }) + lengthLine(largeBody)))
+}
+
 // actManyAndClose sends many requests at once and closes.
 func actManyAndClose(_ context.Context, c *client) { c.send(c.smallRequests()) }
 
