cpubudget: charge the expected cost of a connection as it is accepted

Cause: a connection's cost is known at its end. Until then a hundred more were accepted, since an accept alone costs little, and usual requests waited behind all of them.

Change: ReserveConnection takes the mean cost of connections that ended without a forwarded request, in advance; it is given back once a request is forwarded, and settled otherwise.

TestAcceptingIsPacedByWhatEarlierConnectionsCost.

--- a/internal/cpubudget/budget.go
+++ b/internal/cpubudget/budget.go
@@ -47,11 +47,15 @@
 // meanwhile.
 const maxCharge = 10 * time.Millisecond
 
-// firstCloseCost is the expected cost of a close before the first.
-const firstCloseCost = 100 * time.Microsecond
+// Expected costs of a close and of a connection before the first. That of a connection is low, so that usual clients that connect together
+// after a restart don't wait.
+const (
+	firstCloseCost      = 100 * time.Microsecond
+	firstConnectionCost = 20 * time.Microsecond
+)
 
-// closeCostWeight is the weight of the latest close in the mean cost of closes.
-const closeCostWeight = 0.1
+// costWeight is the weight of the latest close, and of the latest connection, in their mean costs.
+const costWeight = 0.1
 
 // Bounds of the scale, and the weight of the latest calibration in it.
 const (
@@ -72,6 +76,7 @@
 	scale     float64       // processor time per unit of time in system calls
 	used      time.Duration // sum of all charges
 	closeCost time.Duration // exponentially weighted mean of the cost of a close after a rejection
+	connCost  time.Duration // exponentially weighted mean of the cost of a connection that ended without a forwarded or rejected request
 }
 
 // New returns a full budget at a given time. processors is the number of processors that the process may use, above 0.
@@ -82,6 +87,7 @@
 		rejects:    bucket{rate: rejectShare * processors, balance: burst, updatedAt: now},
 		scale:      minScale,
 		closeCost:  firstCloseCost,
+		connCost:   firstConnectionCost,
 	}
 }
 
@@ -140,8 +146,7 @@
 func (b *Budget) Charge(now time.Time, kind Kind, cost Cost) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	scaled := time.Duration(b.scale * float64(min(cost.SystemCalls, maxCharge)))
-	b.chargeLocked(now, kind, min(cost.Whole, maxCharge)+scaled)
+	b.chargeLocked(now, kind, b.scaledLocked(cost))
 }
 
 // Delay returns the time until work of a kind may begin if nothing is charged meanwhile. It is 0 if the work may begin now.
@@ -165,7 +170,37 @@
 	defer b.mu.Unlock()
 	spent = min(spent, maxCharge)
 	b.chargeLocked(now, Reject, spent-reserved)
-	b.closeCost += time.Duration(closeCostWeight * float64(spent-b.closeCost))
+	b.closeCost += time.Duration(costWeight * float64(spent-b.closeCost))
+}
+
+// ReserveConnection takes the expected cost of an accepted connection in advance, because its bytes are read and parsed later, and returns it.
+func (b *Budget) ReserveConnection(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.chargeLocked(now, Accept, b.connCost)
+	return b.connCost
+}
+
+// ReturnConnection gives back what ReserveConnection took.
+func (b *Budget) ReturnConnection(now time.Time, reserved time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.chargeLocked(now, Accept, -reserved)
+}
+
+// ChargeConnection takes the cost of a connection that ended without a forwarded or rejected request, less what ReserveConnection took for it.
+func (b *Budget) ChargeConnection(now time.Time, cost Cost, reserved time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	spent := b.scaledLocked(cost)
+	b.chargeLocked(now, Accept, spent-reserved)
+	b.connCost += time.Duration(costWeight * float64(spent-b.connCost))
+}
+
+// scaledLocked returns the processor time of measured work. The caller holds mu.
+func (b *Budget) scaledLocked(cost Cost) time.Duration {
+	scaled := time.Duration(b.scale * float64(min(cost.SystemCalls, maxCharge)))
+	return min(cost.Whole, maxCharge) + scaled
 }
 
 // Used returns the processor time that was charged, in total.
--- a/internal/cpubudget/budget_test.go
+++ b/internal/cpubudget/budget_test.go
@@ -130,6 +130,34 @@
 	}
 }
 
+// Protects against many connections that are accepted before the cost of the first is known, as that of a long head is.
+func TestAcceptingIsPacedByWhatEarlierConnectionsCost(t *testing.T) {
+	b := New(1, start)
+	for range 100 {
+		b.ChargeConnection(start, Cost{Whole: time.Millisecond}, b.ReserveConnection(start))
+	}
+	now, accepted := start.Add(time.Hour), 0
+	for ; b.Delay(now, Accept) == 0; accepted++ {
+		b.ReserveConnection(now)
+	}
+	if most := int(burst/time.Millisecond) + 2; accepted > most {
+		t.Errorf("%d connections accepted at once after connections of 1 ms, want at most %d", accepted, most)
+	}
+}
+
+func TestReservedConnectionIsChargedOnce(t *testing.T) {
+	b := New(1, start)
+	forwarded := b.ReserveConnection(start)
+	b.ReturnConnection(start, forwarded)
+	if used := b.Used(); used != 0 {
+		t.Errorf("a connection whose request was forwarded was charged %v, want 0", used)
+	}
+	b.ChargeConnection(start, Cost{Whole: 3 * time.Millisecond}, b.ReserveConnection(start))
+	if used := b.Used(); used != 3*time.Millisecond {
+		t.Errorf("a connection of 3 ms was charged %v", used)
+	}
+}
+
 func TestSystemCallsAreScaledToTheProcessorTimeOfTheProcess(t *testing.T) {
 	const whole = time.Second
 	for _, c := range []struct{ ratio, want float64 }{{3, 3}, {0.5, minScale}, {100, maxScale}} {
--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -36,6 +36,7 @@
 	body          []byte             // body buffer that requests reuse
 	setupTime     time.Duration      // time that the accept and newClientConn took
 	accounted     cpubudget.Cost     // part of cost that was charged or waived
+	reserved      time.Duration      // processor time that was charged in advance as the connection was accepted
 	arrivals      netio.ArrivalTimes // arrival times of the bytes in readBuffer
 	receiveAge    time.Duration      // time for which the next request was in the kernel; 0 if earlier bytes were read before it
 	queuedSince   time.Time          // start of the wait for a slot; zero without a wait and after the first request
@@ -113,9 +114,7 @@
 	c.upload.Release()
 	c.inFlight.Release()
 	c.setIdle(false)
-	if !c.forwarded.Load() {
-		c.chargeOverhead(cpubudget.Accept)
-	}
+	c.chargeConnection()
 	if c.overflowed.Load() {
 		c.server.discarding.Add(-1)
 	}
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -129,8 +129,13 @@
 // charge takes the cost of work of a kind.
 func (p *overheadPacer) charge(kind cpubudget.Kind, cost cpubudget.Cost) {
 	now := time.Now()
-	p.calibrate(now)
 	p.budget.Charge(now, kind, cost)
+	p.report(now)
+}
+
+// report calibrates the budget if that is due, and brings its counter up to date.
+func (p *overheadPacer) report(now time.Time) {
+	p.calibrate(now)
 	p.counters.OverheadMicroseconds.Store(p.budget.Used().Microseconds())
 }
 
@@ -171,13 +176,42 @@
 // chargeOverhead takes the connection's cost since the last call, or since the last request that was forwarded, as work of a kind. serve
 // calls it.
 func (c *clientConn) chargeOverhead(kind cpubudget.Kind) {
+	c.returnReserved()
 	total := c.cost()
 	c.server.overhead.charge(kind, total.Sub(c.accounted))
 	c.accounted = total
 }
 
+// chargeConnection takes the cost of a connection that has ended, unless a request of it was forwarded. serve calls it.
+func (c *clientConn) chargeConnection() {
+	overhead, reserved := c.server.overhead, c.reserved
+	c.reserved = 0
+	total := c.cost()
+	switch {
+	case c.forwarded.Load():
+		overhead.budget.ReturnConnection(time.Now(), reserved)
+	case reserved == 0: // a request was rejected
+		c.chargeOverhead(cpubudget.Accept)
+	default:
+		overhead.budget.ChargeConnection(time.Now(), total.Sub(c.accounted), reserved)
+		overhead.report(time.Now())
+	}
+	c.accounted = total
+}
+
+// returnReserved gives back what was reserved for the connection, because its cost is waived or charged otherwise. serve calls it.
+func (c *clientConn) returnReserved() {
+	if c.reserved > 0 {
+		c.server.overhead.budget.ReturnConnection(time.Now(), c.reserved)
+		c.reserved = 0
+	}
+}
+
 // waiveOverhead drops the connection's cost so far, because it was for a request that was forwarded. serve calls it.
-func (c *clientConn) waiveOverhead() { c.accounted = c.cost() }
+func (c *clientConn) waiveOverhead() {
+	c.returnReserved()
+	c.accounted = c.cost()
+}
 
 // maxPlainRequest is the number of bytes of the largest request whose body is sent in one piece. What is longer is framing, as of a body in
 // chunks of one byte, whose parsing costs much more than its reads.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -196,6 +196,7 @@
 	s.conns.Add(1)
 	client.setupTime = acceptCost + time.Since(slotAt)
 	s.overhead.measure(client.setupTime)
+	client.reserved = s.overhead.budget.ReserveConnection(slotAt)
 	go client.serve()
 }
 
