--- /dev/null
+++ b/internal/frontend/conncost.go
@@ -0,0 +1,64 @@
+package frontend
+
+import (
+	"time"
+
+	"cherrygap/internal/cpubudget"
+)
+
+// This file charges what a client connection costs, apart from its close, to the processor budget.
+
+// cost returns what the connection has cost so far, apart from its close.
+func (c *clientConn) cost() cpubudget.Cost {
+	return cpubudget.Cost{Whole: c.setupTime + c.parseTime, SystemCalls: c.reader.SystemTime() + c.writer.SystemTime()}
+}
+
+// chargeOverhead takes the connection's cost since the last call, or since the last request that was forwarded, as work of a kind. serve
+// calls it.
+func (c *clientConn) chargeOverhead(kind cpubudget.Kind) {
+	c.returnReserved()
+	total := c.cost()
+	c.server.overhead.charge(kind, total.Sub(c.accounted))
+	c.accounted = total
+}
+
+// chargeConnection takes the cost of a connection that has ended, unless a request of it was forwarded. serve calls it.
+func (c *clientConn) chargeConnection() {
+	overhead, reserved := c.server.overhead, c.reserved
+	c.reserved = 0
+	total := c.cost()
+	switch {
+	case c.forwarded.Load():
+		overhead.budget.ReturnConnection(time.Now(), reserved)
+	case reserved == 0: // a request was rejected
+		c.chargeOverhead(cpubudget.Accept)
+	default:
+		overhead.budget.ChargeConnection(time.Now(), total.Sub(c.accounted), reserved)
+		overhead.report(time.Now())
+	}
+	c.accounted = total
+}
+
+// returnReserved gives back what was reserved for the connection, because its cost is waived or charged otherwise. serve calls it.
+func (c *clientConn) returnReserved() {
+	if c.reserved > 0 {
+		c.server.overhead.budget.ReturnConnection(time.Now(), c.reserved)
+		c.reserved = 0
+	}
+}
+
+// waiveOverhead drops the connection's cost so far, because it was for a request that was forwarded. serve calls it.
+func (c *clientConn) waiveOverhead() {
+	c.returnReserved()
+	c.accounted = c.cost()
+}
+
+// beginRejection waits until the connection may be rejected. It takes the cost of the connection so far and the expected cost of its
+// close. It returns false if the connection ends first.
+func (c *clientConn) beginRejection() bool {
+	overhead := c.server.overhead
+	return overhead.takeTurn(c.ended, func() {
+		c.chargeOverhead(cpubudget.Reject)
+		c.reservedClose.Store(int64(overhead.budget.ReserveClose(time.Now())))
+	})
+}
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,16 +115,6 @@
 	return true
 }
 
-// beginRejection waits until the connection may be rejected. It takes the cost of the connection so far and the expected cost of its
-// close. It returns false if the connection ends first.
-func (c *clientConn) beginRejection() bool {
-	overhead := c.server.overhead
-	return overhead.takeTurn(c.ended, func() {
-		c.chargeOverhead(cpubudget.Reject)
-		c.reservedClose.Store(int64(overhead.budget.ReserveClose(time.Now())))
-	})
-}
-
 // charge takes the cost of work of a kind.
 func (p *overheadPacer) charge(kind cpubudget.Kind, cost cpubudget.Cost) {
 	now := time.Now()
@@ -168,87 +157,6 @@
 	}
 }
 
-// cost returns what the connection has cost so far, apart from its close.
-func (c *clientConn) cost() cpubudget.Cost {
-	return cpubudget.Cost{Whole: c.setupTime + c.parseTime, SystemCalls: c.reader.SystemTime() + c.writer.SystemTime()}
-}
-
-// chargeOverhead takes the connection's cost since the last call, or since the last request that was forwarded, as work of a kind. serve
-// calls it.
-func (c *clientConn) chargeOverhead(kind cpubudget.Kind) {
-	c.returnReserved()
-	total := c.cost()
-	c.server.overhead.charge(kind, total.Sub(c.accounted))
-	c.accounted = total
-}
-
-// chargeConnection takes the cost of a connection that has ended, unless a request of it was forwarded. serve calls it.
-func (c *clientConn) chargeConnection() {
-	overhead, reserved := c.server.overhead, c.reserved
-	c.reserved = 0
-	total := c.cost()
-	switch {
-	case c.forwarded.Load():
-		overhead.budget.ReturnConnection(time.Now(), reserved)
-	case reserved == 0: // a request was rejected
-		c.chargeOverhead(cpubudget.Accept)
-	default:
-		overhead.budget.ChargeConnection(time.Now(), total.Sub(c.accounted), reserved)
-		overhead.report(time.Now())
-	}
-	c.accounted = total
-}
-
-// returnReserved gives back what was reserved for the connection, because its cost is waived or charged otherwise. serve calls it.
-func (c *clientConn) returnReserved() {
-	if c.reserved > 0 {
-		c.server.overhead.budget.ReturnConnection(time.Now(), c.reserved)
-		c.reserved = 0
-	}
-}
-
-// waiveOverhead drops the connection's cost so far, because it was for a request that was forwarded. serve calls it.
-func (c *clientConn) waiveOverhead() {
-	c.returnReserved()
-	c.accounted = c.cost()
-}
-
-// maxPlainRequest is the number of bytes of the largest request whose body is sent in one piece. What is longer is framing, as of a body in
-// chunks of one byte, whose parsing costs much more than its reads.
-const maxPlainRequest = protocol.MaxHead + protocol.MaxBody
-
-// requestStream is the source of a connection's read buffer. It measures the time for which requests are parsed, between the reads, and
-// delays the rest of a request beyond maxPlainRequest as it delays a rejection.
-type requestStream struct{ *clientConn }
-
-// Read reads once.
-func (s requestStream) Read(p []byte) (int, error) {
-	if s.parsingSince.IsZero() {
-		return s.reader.Read(p)
-	}
-	s.stopParsing()
-	if s.readBuffer.Filled()-s.requestFrom > maxPlainRequest {
-		s.server.overhead.takeTurn(s.ended, func() { s.chargeOverhead(cpubudget.Reject) })
-	}
-	n, err := s.reader.Read(p)
-	s.startParsing()
-	return n, err
-}
-
-// Write must not be called.
-func (s requestStream) Write([]byte) (int, error) { return 0, errors.ErrUnsupported }
-
-// startParsing records that a request is parsed from now on.
-func (c *clientConn) startParsing() { c.parsingSince = time.Now() }
-
-// stopParsing adds the time since startParsing to the connection's cost, because a wait begins or the request has ended.
-func (c *clientConn) stopParsing() {
-	took := time.Since(c.parsingSince)
-	c.parsingSince = time.Time{}
-	c.parseTime += took
-	c.server.overhead.measure(took)
-}
-
 // paceUnforwarded waits before the next request if the client did not pause before it, and the last responses were made without an app
 // server. After many responses to pipelined requests the connection ends with the requests that were read. readAt is the time at which
 // the node saw the request.
