cpubudget: one way to take an expected cost in advance

Cause: the expected costs of a close and of a connection each had their own mean, first value and methods, with the same arithmetic; a third kind of work is about to need it.

Change: Reserve, Return and Settle work for each kind of Work (reservation.go). What is charged is unchanged.

Measured: the tests of the package pass; they use the new names and check what they checked.

--- a/internal/cpubudget/budget.go
+++ b/internal/cpubudget/budget.go
@@ -47,16 +47,6 @@
 // meanwhile.
 const maxCharge = 10 * time.Millisecond
 
-// Expected costs of a close and of a connection before the first. That of a connection is low, so that usual clients that connect together
-// after a restart don't wait.
-const (
-	firstCloseCost      = 100 * time.Microsecond
-	firstConnectionCost = 20 * time.Microsecond
-)
-
-// costWeight is the weight of the latest close, and of the latest connection, in their mean costs.
-const costWeight = 0.1
-
 // Bounds of the scale, and the weight of the latest calibration in it.
 const (
 	minScale    = 1
@@ -75,8 +65,7 @@
 	lag       time.Duration // exponentially weighted mean of the lag of wake-ups
 	scale     float64       // processor time per unit of time in system calls
 	used      time.Duration // sum of all charges
-	closeCost time.Duration // exponentially weighted mean of the cost of a close after a rejection
-	connCost  time.Duration // exponentially weighted mean of the cost of a connection that ended without a forwarded or rejected request
+	expected  [works]expectedCost
 }
 
 // New returns a full budget at a given time. processors is the number of processors that the process may use, above 0.
@@ -86,8 +75,7 @@
 		accepts:    bucket{rate: idleAcceptShare * processors, balance: burst, updatedAt: now},
 		rejects:    bucket{rate: rejectShare * processors, balance: burst, updatedAt: now},
 		scale:      minScale,
-		closeCost:  firstCloseCost,
-		connCost:   firstConnectionCost,
+		expected:   newExpectedCosts(),
 	}
 }
 
@@ -156,47 +144,6 @@
 	return b.bucketOf(kind).delay(now, floorOf(kind))
 }
 
-// ReserveClose takes the expected cost of a close after a rejection in advance, because the close comes later, and returns it.
-func (b *Budget) ReserveClose(now time.Time) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.chargeLocked(now, Reject, b.closeCost)
-	return b.closeCost
-}
-
-// ChargeClose takes the time of a close after a rejection, less what ReserveClose took for it.
-func (b *Budget) ChargeClose(now time.Time, spent, reserved time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	spent = min(spent, maxCharge)
-	b.chargeLocked(now, Reject, spent-reserved)
-	b.closeCost += time.Duration(costWeight * float64(spent-b.closeCost))
-}
-
-// ReserveConnection takes the expected cost of an accepted connection in advance, because its bytes are read and parsed later, and returns it.
-func (b *Budget) ReserveConnection(now time.Time) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.chargeLocked(now, Accept, b.connCost)
-	return b.connCost
-}
-
-// ReturnConnection gives back what ReserveConnection took.
-func (b *Budget) ReturnConnection(now time.Time, reserved time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.chargeLocked(now, Accept, -reserved)
-}
-
-// ChargeConnection takes the cost of a connection that ended without a forwarded or rejected request, less what ReserveConnection took for it.
-func (b *Budget) ChargeConnection(now time.Time, cost Cost, reserved time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	spent := b.scaledLocked(cost)
-	b.chargeLocked(now, Accept, spent-reserved)
-	b.connCost += time.Duration(costWeight * float64(spent-b.connCost))
-}
-
 // scaledLocked returns the processor time of measured work. The caller holds mu.
 func (b *Budget) scaledLocked(cost Cost) time.Duration {
 	scaled := time.Duration(b.scale * float64(min(cost.SystemCalls, maxCharge)))
--- a/internal/cpubudget/budget_test.go
+++ b/internal/cpubudget/budget_test.go
@@ -95,7 +95,7 @@
 	b := New(1, start)
 	b.Charge(start, Accept, Cost{Whole: time.Hour})
 	b.Charge(start, Reject, Cost{SystemCalls: time.Hour})
-	b.ChargeClose(start, time.Hour, 0)
+	b.Settle(start, Close, Cost{Whole: time.Hour}, 0)
 	if used := b.Used(); used != 3*maxCharge {
 		t.Errorf("Used = %v after three measurements of an hour, want %v", used, 3*maxCharge)
 	}
@@ -117,14 +117,14 @@
 func TestReservedCloseIsChargedOnce(t *testing.T) {
 	b := New(1, start)
 	for range 100 {
-		b.ChargeClose(start, time.Millisecond, 0)
+		b.Settle(start, Close, Cost{Whole: time.Millisecond}, 0)
 	}
 	before := b.Used()
-	reserved := b.ReserveClose(start)
+	reserved := b.Reserve(start, Close)
 	if reserved < 900*time.Microsecond || reserved > time.Millisecond {
-		t.Errorf("ReserveClose = %v after closes of 1 ms, want about 1 ms", reserved)
+		t.Errorf("Reserve = %v after closes of 1 ms, want about 1 ms", reserved)
 	}
-	b.ChargeClose(start, 3*time.Millisecond, reserved)
+	b.Settle(start, Close, Cost{Whole: 3 * time.Millisecond}, reserved)
 	if charged := b.Used() - before; charged != 3*time.Millisecond {
 		t.Errorf("a reserved close of 3 ms was charged %v", charged)
 	}
@@ -134,11 +134,11 @@
 func TestAcceptingIsPacedByWhatEarlierConnectionsCost(t *testing.T) {
 	b := New(1, start)
 	for range 100 {
-		b.ChargeConnection(start, Cost{Whole: time.Millisecond}, b.ReserveConnection(start))
+		b.Settle(start, Connection, Cost{Whole: time.Millisecond}, b.Reserve(start, Connection))
 	}
 	now, accepted := start.Add(time.Hour), 0
 	for ; b.Delay(now, Accept) == 0; accepted++ {
-		b.ReserveConnection(now)
+		b.Reserve(now, Connection)
 	}
 	if most := int(burst/time.Millisecond) + 2; accepted > most {
 		t.Errorf("%d connections accepted at once after connections of 1 ms, want at most %d", accepted, most)
@@ -147,12 +147,12 @@
 
 func TestReservedConnectionIsChargedOnce(t *testing.T) {
 	b := New(1, start)
-	forwarded := b.ReserveConnection(start)
-	b.ReturnConnection(start, forwarded)
+	forwarded := b.Reserve(start, Connection)
+	b.Return(start, Connection, forwarded)
 	if used := b.Used(); used != 0 {
 		t.Errorf("a connection whose request was forwarded was charged %v, want 0", used)
 	}
-	b.ChargeConnection(start, Cost{Whole: 3 * time.Millisecond}, b.ReserveConnection(start))
+	b.Settle(start, Connection, Cost{Whole: 3 * time.Millisecond}, b.Reserve(start, Connection))
 	if used := b.Used(); used != 3*time.Millisecond {
 		t.Errorf("a connection of 3 ms was charged %v", used)
 	}
--- a/internal/frontend/conncost.go
+++ b/internal/frontend/conncost.go
@@ -29,11 +29,11 @@
 	total := c.cost()
 	switch {
 	case c.forwarded.Load():
-		overhead.budget.ReturnConnection(time.Now(), reserved)
+		overhead.budget.Return(time.Now(), cpubudget.Connection, reserved)
 	case reserved == 0: // a request was rejected
 		c.chargeOverhead(cpubudget.Accept)
 	default:
-		overhead.budget.ChargeConnection(time.Now(), total.Sub(c.accounted), reserved)
+		overhead.budget.Settle(time.Now(), cpubudget.Connection, total.Sub(c.accounted), reserved)
 		overhead.report(time.Now())
 	}
 	c.accounted = total
@@ -42,7 +42,7 @@
 // returnReserved gives back what was reserved for the connection, because its cost is waived or charged otherwise. serve calls it.
 func (c *clientConn) returnReserved() {
 	if c.reserved > 0 {
-		c.server.overhead.budget.ReturnConnection(time.Now(), c.reserved)
+		c.server.overhead.budget.Return(time.Now(), cpubudget.Connection, c.reserved)
 		c.reserved = 0
 	}
 }
@@ -59,6 +59,6 @@
 	overhead := c.server.overhead
 	return overhead.takeTurn(c.ended, func() {
 		c.chargeOverhead(cpubudget.Reject)
-		c.reservedClose.Store(int64(overhead.budget.ReserveClose(time.Now())))
+		c.reservedClose.Store(int64(overhead.budget.Reserve(time.Now(), cpubudget.Close)))
 	})
 }
--- a/internal/frontend/pacing.go
+++ b/internal/frontend/pacing.go
@@ -131,7 +131,7 @@
 // chargeClose takes the cost of a close after a rejection, less what was reserved for it.
 func (p *overheadPacer) chargeClose(spent, reserved time.Duration) {
 	p.measure(spent)
-	p.budget.ChargeClose(time.Now(), spent, reserved)
+	p.budget.Settle(time.Now(), cpubudget.Close, cpubudget.Cost{Whole: spent}, reserved)
 }
 
 // chargeWhole takes the time of work of a kind that was measured as a whole.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cherrygap/internal/cpubudget"
 	"cherrygap/internal/membudget"
 	"cherrygap/internal/netio"
 	"cherrygap/internal/routing"
@@ -196,7 +197,7 @@
 	s.conns.Add(1)
 	client.setupTime = acceptCost + time.Since(slotAt)
 	s.overhead.measure(client.setupTime)
-	client.reserved = s.overhead.budget.ReserveConnection(slotAt)
+	client.reserved = s.overhead.budget.Reserve(slotAt, cpubudget.Connection)
 	go client.serve()
 }
 
