upstream, discovery: apply what discovery sent during a pause before the next attempt

Cause: after a pause the goroutines of all ready connections run in no useful order, and the last check of the server before an attempt sees the list from before the pause.

Change: an attempt within 0.1 s of running time after a pause first waits until discovery's connection has no input that is not applied, for 0.1 s at most. The client reads through a netio.Socket, whose hook makes "in the kernel" and "read, not applied" one consistent answer.

Tests of discovery, schedpause, upstream, node and scale pass, -race passes for discovery and node.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -45,21 +45,23 @@
 	if err != nil {
 		return callResult{err: err}
 	}
+	socket := netio.NewSocket(netConn)
 	c := &connection{
 		conn: netConn, addr: t.addr, log: t.log, counters: t.counters, openedAt: time.Now(),
-		readBuffer:  netio.NewRingBuffer(netConn, t.limits.BufferSize()),
+		readBuffer:  netio.NewRingBuffer(socket, t.limits.BufferSize()),
 		writeBuffer: netio.NewRingBuffer(netConn, netio.MinBuffer),
 	}
+	socket.Hook = &c.news
 	if received != nil {
 		startedAt := deadline.Add(-timeout)
 		c.readBuffer.Stream = &progressConn{
-			Conn: netConn, received: received, deadline: deadline, lastDeadline: startedAt.Add(callTimeout),
+			Socket: socket, conn: netConn, received: received, deadline: deadline, lastDeadline: startedAt.Add(callTimeout),
 		}
 	}
 	c.parser = bufio.NewReaderSize(&c.readBuffer, netio.ParserBuffer)
 	detach := context.AfterFunc(ctx, func() { netio.CloseConn(netConn) })
 	result := c.call(t.first, time.Until(deadline))
-	c.readBuffer.Stream = netConn // Later calls have a fixed timeout.
+	c.readBuffer.Stream = socket // Later calls have a fixed timeout.
 	result.detach = detach
 	if result.err != nil {
 		detach()
@@ -70,13 +72,16 @@
 
 // dial connects to discovery. If this machine has no resources or no route, it retries until the deadline, because in poll
 // mode the next call is seconds away.
-func (t callTarget) dial(ctx context.Context, deadline time.Time) (net.Conn, error) {
+func (t callTarget) dial(ctx context.Context, deadline time.Time) (*net.TCPConn, error) {
 	dialer := net.Dialer{Timeout: max(t.limits.ConnectTimeout, minConnectTimeout), Deadline: deadline, KeepAlive: -1}
 	for {
 		netConn, err := dialer.DialContext(ctx, "tcp", t.addr)
 		transient := netio.IsResourceExhaustion(err) || netio.IsUnroutable(err)
+		if err == nil {
+			return netConn.(*net.TCPConn), nil
+		}
 		if !transient || time.Now().Add(netio.ErrorRetryDelay).After(deadline) {
-			return netConn, err
+			return nil, err
 		}
 		select {
 		case <-ctx.Done():
@@ -89,7 +94,8 @@
 // progressConn is a racer's connection during its first call. For each raceProgress bytes that arrive it extends the read
 // deadline by raceInterval, up to lastDeadline.
 type progressConn struct {
-	net.Conn
+	*netio.Socket
+	conn                   net.Conn
 	received               *atomic.Int64 // response bytes of all racers
 	deadline, lastDeadline time.Time     // current read deadline and its maximum
 	progress               int           // bytes received that have not extended the deadline yet
@@ -97,19 +103,20 @@
 
 // Read reads from the connection, counts the bytes and extends the deadline.
 func (c *progressConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.Socket.Read(p)
 	c.received.Add(int64(n))
 	if c.progress += n; c.progress >= raceProgress && c.deadline.Before(c.lastDeadline) {
 		c.progress -= raceProgress
 		c.deadline = netio.Earlier(c.deadline.Add(raceInterval), c.lastDeadline)
-		netio.SetReadDeadline(c.Conn, c.deadline)
+		netio.SetReadDeadline(c.conn, c.deadline)
 	}
 	return n, err
 }
 
 // connection is one connection to discovery. It belongs to one goroutine.
 type connection struct {
-	conn                    net.Conn
+	conn                    *net.TCPConn
+	news                    newsCheck
 	addr                    string
 	log                     *zerolog.Logger
 	counters                *Counters
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,7 +48,7 @@
 // for a discovery that serves the whole fleet without local agents. Races of all nodes would overload it.
 //
 // The caller sets the exported fields before Run. Run then owns Addr, Revision and NeedsFullList, and calls OnList and
-// OnFailure. SwitchTo and Stop are safe for concurrent use.
+// OnFailure. SwitchTo, Stop and HasNews are safe for concurrent use.
 type Client struct {
 	Addr          string // host:port of discovery
 	Revision      uint64 // revision of the known endpoint list
@@ -60,6 +61,8 @@
 	OnFailure    func()                       // called after a failed call; may be nil
 	PollRequests <-chan struct{}              // poll requests of the decision engine; nil in watch mode
 
+	following atomic.Pointer[connection] // connection of the current series of calls; nil without one
+
 	closedAfterResponse bool // true if the last connection ended after a response (errConnectionClosed)
 
 	mu      sync.Mutex         // guards the fields below
@@ -89,6 +92,12 @@
 	}
 }
 
+// HasNews reports whether discovery has sent what was not passed to OnList yet. Any goroutine may call it.
+func (d *Client) HasNews() bool {
+	conn := d.following.Load()
+	return conn != nil && conn.news.hasNews(conn.conn)
+}
+
 // seriesStart is the state of the client at the start of a series of calls. A series starts with a connection and ends
 // with a failure, SwitchTo or Stop.
 type seriesStart struct {
@@ -179,8 +188,11 @@
 	stopWatching := context.AfterFunc(ctx, func() { netio.CloseConn(conn.conn) }) // ends a held call
 	defer stopWatching()
 	defer conn.close()
+	d.following.Store(conn)
+	defer d.following.Store(nil)
 	for {
 		fullNext := d.applyList(&result.list)
+		conn.news.applied()
 		if result.connectionCloses {
 			d.closedAfterResponse = true
 			return errConnectionClosed
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -168,12 +168,32 @@
 		OnFailure:     n.router.PollFailed,
 		OnList:        n.updateEndpoints,
 	}
+	n.pool.OnSend(n.awaitNews)
 	if n.config.pollsDiscovery() {
 		n.discovery.PollRequests = n.pollRequests
 	}
 	return nil
 }
 
+// Times of awaitNews.
+const (
+	maxNewsWait      = 100 * time.Millisecond // longest wait, for a list that takes long to parse
+	newsPollInterval = time.Millisecond
+)
+
+// awaitNews waits until what discovery sent while the process stood still is applied, at most until the given time. Requests that came
+// meanwhile would otherwise go to servers that drain since.
+func (n *Node) awaitNews(until time.Time) {
+	now := time.Now()
+	if !n.pauses.PausedRecently(now) {
+		return
+	}
+	until = netio.Earlier(until, now.Add(maxNewsWait))
+	for n.discovery.HasNews() && time.Now().Before(until) {
+		time.Sleep(newsPollInterval)
+	}
+}
+
 // updateEndpoints applies an endpoint list, or a change of the list, from the discovery service. It runs on the discovery
 // client's goroutine.
 func (n *Node) updateEndpoints(list *protocol.EndpointList) {
--- a/internal/schedpause/tracker.go
+++ b/internal/schedpause/tracker.go
@@ -60,6 +60,10 @@
 	return earliest
 }
 
+// PausedRecently reports whether the process stood still and has run for at most handlingTime since. What came meanwhile may not have been
+// read yet.
+func (t *Tracker) PausedRecently(now time.Time) bool { return t.EarliestSignal(now).Before(now) }
+
 // observeLocked records that the process runs now, and a pause if its timer was to expire long before. The caller holds mu.
 func (t *Tracker) observeLocked(now time.Time) {
 	if !t.due.IsZero() && now.Sub(t.due) >= minPause {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -41,6 +41,8 @@
 
 	controlSocket func(network, address string, conn syscall.RawConn) error // sets the receive buffer of a connection; may be nil
 
+	awaitNews func(until time.Time) // waits for news of the servers; nil to wait for none
+
 	lastConnected atomic.Pointer[time.Time] // time of the last successful dial to any server; nil before the first
 
 	mu       sync.Mutex                        // guards all fields below
@@ -65,6 +67,10 @@
 	return p
 }
 
+// OnSend sets a function that is called before a server is checked for the last time before an attempt. It may wait until the given
+// time for news of the server. OnSend must be called before the first attempt.
+func (p *Pool) OnSend(awaitNews func(until time.Time)) { p.awaitNews = awaitNews }
+
 // idleLimit returns the maximum idle time of a connection, 0 if the servers have no idle timeout.
 func (p *Pool) idleLimit() time.Duration {
 	return numeric.Truncate[time.Duration](float64(p.limits.ServerIdleTimeout) * maxIdleRatio)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -60,6 +60,9 @@
 		conn = dialled.conn
 	}
 	netio.SetDeadline(conn.conn, deadline)
+	if r.pool.awaitNews != nil {
+		r.pool.awaitNews(deadline)
+	}
 	// During a dial the server may have begun to drain, the Router may have cancelled the attempt, or the client may have
 	// disconnected.
 	r.sendCheck.serverCheckedAt = time.Now()
