frontend: choose the connections to evict in one pass

Cause: each eviction ranked all connections, with three locks and two clock readings each, allocated a list of all of them and sorted it, though it looks at 64.

Change: the phase and the clock are read once, and only the first 64 are kept in order. Which connections are evicted is unchanged.

The tests of frontend pass.

--- a/internal/frontend/clientconn.go
+++ b/internal/frontend/clientconn.go
@@ -23,7 +23,7 @@
 //
 // The channel handled passes the request back to serve. The comments on the fields say which goroutine uses them; both use the
 // atomic fields and the channel. Any goroutine may call close,
-// tryEnd, evictable, expectsFirstRequest and the methods of check.
+// tryEnd, evictionRank, expectsFirstRequest and the methods of check.
 type clientConn struct {
 	server     *Server
 	conn       *net.TCPConn
--- a/internal/frontend/closecheck.go
+++ b/internal/frontend/closecheck.go
@@ -143,26 +143,20 @@
 	return c.phase == phaseClosed
 }
 
-// mayClose reports whether the connection may be closed now.
-func (c *closeCheck) mayClose(partial partialPolicy) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closableLocked(partial)
-}
-
 // tryClose reports whether the connection may be closed now. If so, the check allows no more reads.
 func (c *closeCheck) tryClose(partial partialPolicy) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ok := c.closableLocked(partial)
+	ok := c.phase.closable(partial)
 	if ok {
 		c.phase = phaseClosed
 	}
 	return ok
 }
 
-func (c *closeCheck) closableLocked(partial partialPolicy) bool {
-	switch c.phase {
+// closable reports whether a connection in the phase may be closed.
+func (p connPhase) closable(partial partialPolicy) bool {
+	switch p {
 	case phaseIdle, phaseLingering:
 		return true
 	case phasePartial, phaseDeferred:
@@ -171,6 +165,13 @@
 	return false
 }
 
+// currentPhase returns the connection's phase.
+func (c *closeCheck) currentPhase() connPhase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
+
 // inPhase reports whether the connection is in the given phase.
 func (c *closeCheck) inPhase(phase connPhase) bool {
 	c.mu.Lock()
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -28,7 +28,7 @@
 	startedAt := time.Now()
 	candidates := s.evictionOrderLocked()
 	s.overhead.chargeWhole(cpubudget.Accept, time.Since(startedAt))
-	for _, candidate := range candidates[:min(maxCandidates, len(candidates))] {
+	for _, candidate := range candidates {
 		client := candidate.client
 		if s.evicting == maxEvictions || s.evicting > 0 && candidate.rank > rankNeverRequested {
 			return
@@ -49,7 +49,7 @@
 func (s *Server) evictIdle(client *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.evicting == 0 && client.evictionRank() == rankRequested && client.tryEnd(slotNeeded) {
+	if s.evicting == 0 && client.evictionRank(client.check.currentPhase(), time.Now()) == rankRequested && client.tryEnd(slotNeeded) {
 		s.countEvictionLocked(client)
 	}
 }
@@ -84,17 +84,24 @@
 	idleSince time.Time
 }
 
-// evictionOrderLocked returns the evictable connections, by rank and then by idle time. The caller holds mu.
+// compare orders candidates by rank and then by idle time.
+func (e evictionCandidate) compare(other evictionCandidate) int {
+	return cmp.Or(cmp.Compare(e.rank, other.rank), e.idleSince.Compare(other.idleSince))
+}
+
+// evictionOrderLocked returns the first maxCandidates evictable connections in the order of eviction. The caller holds mu.
 func (s *Server) evictionOrderLocked() []evictionCandidate {
-	var candidates []evictionCandidate
+	candidates, now := make([]evictionCandidate, 0, maxCandidates+1), time.Now()
 	for client := range s.clients {
-		if client.evictable() {
-			candidates = append(candidates, evictionCandidate{client, client.evictionRank(), client.idleSinceTime()})
+		phase := client.check.currentPhase()
+		if !phase.closable(slotNeeded.partialPolicy(client)) {
+			continue
 		}
+		candidate := evictionCandidate{client, client.evictionRank(phase, now), client.idleSinceTime()}
+		at, _ := slices.BinarySearchFunc(candidates, candidate, evictionCandidate.compare)
+		candidates = slices.Insert(candidates, at, candidate)
+		candidates = candidates[:min(len(candidates), maxCandidates)]
 	}
-	slices.SortFunc(candidates, func(a, b evictionCandidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.idleSince.Compare(b.idleSince))
-	})
 	return candidates
 }
 
@@ -112,19 +119,17 @@
 	rankNew                                // connection without a complete request, younger than firstRequestGrace
 )
 
-func (c *clientConn) evictionRank() evictionRank {
+// evictionRank returns the rank of a connection in a phase.
+func (c *clientConn) evictionRank(phase connPhase, now time.Time) evictionRank {
 	switch {
-	case c.check.inPhase(phaseLingering):
+	case phase == phaseLingering:
 		return rankRejected
-	case c.served.Load() && time.Since(c.idleSinceTime()) < maxActiveIdle:
+	case c.served.Load() && now.Sub(c.idleSinceTime()) < maxActiveIdle:
 		return rankActive
 	case c.hasRequested.Load():
 		return rankRequested
-	case time.Since(c.acceptedAt) >= firstRequestGrace, c.check.inPhase(phaseDeferred):
+	case phase == phaseDeferred, now.Sub(c.acceptedAt) >= firstRequestGrace:
 		return rankNeverRequested
 	}
 	return rankNew
 }
-
-// evictable reports whether the connection may be closed to free its slot.
-func (c *clientConn) evictable() bool { return c.check.mayClose(slotNeeded.partialPolicy(c)) }
